--- a/quincerack/decide.py
+++ b/hitchtiller/decide.py
@@ -11,8 +11,8 @@
 from random import Random
 from typing import Any
 
-from quincerack import interface as api
-from quincerack.records import Attempt, Held, Node, mix, put
+from hitchtiller import interface as api
+from hitchtiller.records import Attempt, Held, Node, mix, put
 
 # Ordinary path
 WIDEN_AT = (0.05, 0.15)  # share of a cache's link from which an object gets two, three: balance or copies
--- a/quincerack/records.py
+++ b/hitchtiller/records.py
@@ -4,7 +4,7 @@
 from hashlib import blake2b
 from typing import Any
 
-from quincerack.interface import ClassSettings, Member, Request
+from hitchtiller.interface import ClassSettings, Member, Request
 
 
 def mix(*values: int) -> int:
--- a/quincerack/wirehost.py
+++ b/hitchtiller/wirehost.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import Any, TextIO
 
-from quincerack import interface as api
-from quincerack.decide import Router
+from hitchtiller import interface as api
+from hitchtiller.decide import Router
 
 Fields = dict[str, Any]
 NOTE_KINDS = ("ask", "holder", "kept", "lacks")
@@ -265,7 +265,7 @@
             if text.strip():
                 host.line(text)
     except WireError as error:
-        print(f"quincerack: {error}", file=sys.stderr)
+        print(f"hitchtiller: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,8 +6,8 @@
 import pytest
 from hypothesis import settings as hypothesis_settings
 
-from quincerack import interface as api
-from quincerack.decide import Router
+from hitchtiller import interface as api
+from hitchtiller.decide import Router
 
 hypothesis_settings.register_profile("ci", derandomize=True, deadline=None, max_examples=40)
 hypothesis_settings.load_profile("ci")
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,10 +7,10 @@
 import pytest
 from conftest import BASE, FLEET, Bench, gets
 
-from quincerack import interface as api
-from quincerack.decide import ORIGIN, TABLE
+from hitchtiller import interface as api
+from hitchtiller.decide import ORIGIN, TABLE
 
-POLICY = Path(__file__).parent.parent / "quincerack" / "decide.py"
+POLICY = Path(__file__).parent.parent / "hitchtiller" / "decide.py"
 
 
 def spread(bench: Bench, key: int) -> None:
@@ -26,8 +26,8 @@
     allowed = {"math", "collections.abc", "dataclasses", "hashlib", "random", "typing"}
     for node in ast.walk(ast.parse(POLICY.read_text())):
         if isinstance(node, ast.ImportFrom):
-            assert node.module in allowed or (node.module or "").startswith("quincerack")
-            if node.module == "quincerack":
+            assert node.module in allowed or (node.module or "").startswith("hitchtiller")
+            if node.module == "hitchtiller":
                 assert [name.name for name in node.names] == ["interface"]
         elif isinstance(node, ast.Import):
             assert all(name.name in allowed for name in node.names)
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -7,8 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from quincerack import interface as api
-from quincerack.decide import TABLE, Router
+from hitchtiller import interface as api
+from hitchtiller.decide import TABLE, Router
 
 SETTINGS = st.fixed_dictionaries(
     {
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,7 +5,7 @@
 import pytest
 from conftest import FLEET, Bench, gets
 
-from quincerack import interface as api
+from hitchtiller import interface as api
 
 
 def finals(acts: list[api.Action]) -> list[api.Action]:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from quincerack import interface as api
-from quincerack.wirehost import Host, WireError, pack, unpack
+from hitchtiller import interface as api
+from hitchtiller.wirehost import Host, WireError, pack, unpack
 
 ROOT = Path(__file__).parent.parent
 SETUP: dict[str, Any] = {
@@ -65,7 +65,7 @@
 
 def run(text: str, **env: str) -> "subprocess.CompletedProcess[str]":
     return subprocess.run(
-        [sys.executable, "-m", "quincerack.wirehost"],
+        [sys.executable, "-m", "hitchtiller.wirehost"],
         input=text,
         capture_output=True,
         text=True,
@@ -113,7 +113,7 @@
 def test_what_is_not_the_wire_ends_with_one_clear_line(text: str) -> None:
     done = run(text + "\n")
     assert done.returncode != 0 and done.stdout == ""
-    assert re.fullmatch(r"quincerack: .+\n", done.stderr)
+    assert re.fullmatch(r"hitchtiller: .+\n", done.stderr)
 
 
 def host() -> tuple[Host, io.StringIO]:
