--- /dev/null
+++ b/hitchtiller/__main__.py
@@ -0,0 +1,101 @@
+"""One gateway on real sockets: reads its configuration and wires the parts together."""
+
+import gc
+import os
+import signal
+import socket
+import sys
+from collections.abc import Callable
+
+from loguru import logger
+
+from hitchtiller import log
+from hitchtiller.back.upstreams import Upstreams
+from hitchtiller.bus import BusLink
+from hitchtiller.config import Config, ConfigError, read_config
+from hitchtiller.decide import Router
+from hitchtiller.engine import Engine
+from hitchtiller.front.server import Front
+from hitchtiller.peers import Peers
+from hitchtiller.sched import READ, Clock, Scheduler, Stream
+
+REPORT_MS = 10_000.0
+SPARE = 48  # descriptors kept for the listener, the bus, the log and the like
+
+
+def on_term(sched: Scheduler, stop: Callable[[], None]) -> None:
+    """Call `stop` in a greenlet of its own once SIGTERM comes."""
+    mine, other = socket.socketpair()
+    mine.setblocking(False)
+    other.setblocking(False)
+    signal.signal(signal.SIGTERM, lambda *_: None)
+    signal.set_wakeup_fd(other.fileno())
+
+    def wait() -> None:
+        sched.wait(mine.fileno(), READ)
+        logger.info("told to stop")
+        stop()
+        other.close()
+
+    sched.spawn(wait)
+
+
+def report(sched: Scheduler, engine: Engine, front: Front) -> None:
+    """Write a regular line: counts, the loop's lag, open sockets."""
+    while True:
+        sched.sleep(REPORT_MS)
+        logger.info(
+            "{} open={} clients={} sockets={} lag_ms={:.1f}",
+            engine.counts,
+            len(engine.open),
+            len(front.clients),
+            Stream.opened,
+            sched.lag_ms,
+        )
+        sched.lag_ms = 0.0
+
+
+def serve(config: Config) -> None:
+    """Run one gateway until it is told to stop."""
+    sched = Scheduler()
+    clients = config.sockets // 3
+    times = (config.connect_ms, config.idle_ms)
+    back = Upstreams(sched, times, config.streams, config.sockets - clients - SPARE)
+    peers = Peers(sched, config.peer_listen, config.peers) if config.peer_listen else None
+    tell = peers.tell if peers else lambda peer, note: None
+    engine = Engine(Router(config.settings, config.seed), Clock(sched), back, tell)
+    bus = BusLink(sched, engine, config.bus, (config.zones, config.kinds))
+    for event in config.known:
+        bus.apply(event)
+    front = Front(sched, engine, config.settings, clients)
+    host, port = front.listen(config.listen)
+    sched.spawn(bus.run)
+    if peers:
+        sched.spawn(peers.run, engine)
+    sched.spawn(report, sched, engine, front)
+    on_term(sched, front.stop)
+    gc.collect()
+    gc.freeze()  # what is there now stays: not looked at again
+    logger.info("serving on {}:{}", host, port)
+    sched.run()
+    logger.info("stopped")
+
+
+def main() -> int:
+    """Start; a bad configuration is told in one line."""
+    try:
+        config = read_config(os.environ)
+    except ConfigError as error:
+        print(f"hitchtiller: {error}", file=sys.stderr)
+        return 2
+    log.start(config.name)
+    try:
+        serve(config)
+    except OSError as error:
+        print(f"hitchtiller: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/hitchtiller/back/__init__.py
@@ -0,0 +1,1 @@
+"""The server side: connections to station caches, parents and the origin."""
--- /dev/null
+++ b/hitchtiller/back/jobs.py
@@ -0,0 +1,94 @@
+"""What is written on a connection to a server, and what its answer means."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from hitchtiller.codec import resp
+from hitchtiller.exchange import Attempt, Ending
+
+STATUS = {"DONE": "done", "KEEP": "done", "LACK": "enoent", "WAIT": "busy", "BROKE": "err", "PAST": "skipped"}
+
+
+class Job(Protocol):
+    """A command that is owed an answer under its name."""
+
+    name: bytes
+
+    def command(self) -> bytes | None:
+        """Write it, at its first byte; None if it may not go any more."""
+
+    def answered(self, word: str, fields: dict[str, str], body: bytes) -> None:
+        """Take its answer."""
+
+    def broken(self, status: str) -> None:
+        """Take the connection's end instead."""
+
+
+class Pull:
+    """An attempt as a PULL."""
+
+    def __init__(self, attempt: Attempt) -> None:
+        """Carry an attempt."""
+        self.attempt = attempt
+        self.name = attempt.exchange.ask.id.encode()
+
+    def command(self) -> bytes | None:
+        """Write PULL, with what is settled only now: the wait and the oldest copy that will do."""
+        attempt = self.attempt
+        clearance = attempt.clear(attempt)
+        if clearance is None:
+            attempt.drop("skipped")
+            return None
+        attempt.written = True
+        ask, get = attempt.exchange.ask, attempt.get
+        fields = {"lane": ask.class_name, "name": ask.object, "piece": str(ask.part)}
+        fields["ttl"] = str(max(1, int(clearance.ttl_ms)))
+        if ask.dedupe:
+            fields["dedupe"] = ask.dedupe
+        if get.source != get.server:
+            fields["up"] = get.source
+        if get.keep:
+            fields["store"] = str(get.keep)
+        if clearance.cap_ms:
+            fields["cap"] = str(max(1, int(clearance.cap_ms)))  # 0 would mean any age that is fresh
+        words = {"merge": get.join, "local": get.held_only, "revalidate": get.renew}
+        if any(words.values()):
+            fields["do"] = "+".join(word for word, wanted in words.items() if wanted)
+        if ask.have:
+            fields["inm"] = ask.have
+        return resp.write_command(b"PULL", self.name, resp.write_fields(fields), ask.body)
+
+    def answered(self, word: str, fields: dict[str, str], body: bytes) -> None:
+        """End the attempt in the decisions' words."""
+        status = STATUS.get(word, "err")
+        unchanged = word == "KEEP"
+        if unchanged and not self.attempt.exchange.ask.have:
+            status = "err"  # a server that keeps a copy the client never named
+        load = resp.read_report(fields["rep"]) if "rep" in fields else {}
+        served = body if word == "DONE" else b""
+        self.attempt.end(Ending(status, served, unchanged, fields.get("rev", ""), load))
+
+    def broken(self, status: str) -> None:
+        """End it with the connection."""
+        self.attempt.drop(status)
+
+
+class Meter:
+    """A probe as a METER."""
+
+    def __init__(self, number: int, report: Callable[[str, dict[str, float]], None]) -> None:
+        """Report to `report` once."""
+        self.name = b"m%x" % number
+        self.report = report
+
+    def command(self) -> bytes:
+        """Write METER."""
+        return resp.write_command(b"METER", self.name)
+
+    def answered(self, word: str, fields: dict[str, str], body: bytes) -> None:
+        """Report what came."""
+        self.report("done" if word == "FIT" else "err", resp.read_report(fields.get("rep", "")))
+
+    def broken(self, status: str) -> None:
+        """Report the connection's end."""
+        self.report(status, {})
--- /dev/null
+++ b/hitchtiller/back/link.py
@@ -0,0 +1,180 @@
+"""One connection to a server: jobs in order of writing, answers in any order."""
+
+import socket
+from collections import deque
+from collections.abc import Callable
+
+from greenlet import getcurrent, greenlet
+
+from hitchtiller.back.jobs import Job
+from hitchtiller.codec import resp
+from hitchtiller.log import ended
+from hitchtiller.sched import Closed, Scheduler, Stream, now_ms
+
+IDLE_SHARE = 0.7  # of the idle time after which servers close: closing first avoids a race with a send
+MOST_KILLED = 4096
+
+
+class Link:
+    """Writes jobs once each before it is theirs, and ends all of them when it ends."""
+
+    def __init__(
+        self,
+        sched: Scheduler,
+        server: str,
+        address: tuple[str, int],
+        times: tuple[float, float],
+        streams: int,
+        on_close: Callable[["Link", list[Job]], None],
+    ) -> None:
+        """Start to connect; `times` are the time to connect and the servers' idle time."""
+        self.sched, self.server, self.address, self.streams = sched, server, address, streams
+        self.connect_ms, self.idle_ms = times
+        self.on_close = on_close
+        self.stream = Stream(sched, socket.socket())
+        self.pending: deque[Job | bytes] = deque()
+        self.waiting: set[bytes] = set()  # names in `pending`
+        self.open: dict[bytes, Job] = {}
+        self.killed: set[bytes] = set()  # their answers may still be under way
+        self.writing: tuple[Job | bytes, float] | None = None
+        self.writer: greenlet | None = None  # while parked for want of work
+        self.spoiled = False
+        self.up = False
+        self.done = 0
+        sched.spawn(self._run)
+
+    def room(self, name: bytes) -> bool:
+        """Tell whether it may carry a job of this name now."""
+        if self.stream.code or self.spoiled or len(self.killed) >= MOST_KILLED:
+            return False
+        if self.writing and now_ms() - self.writing[1] > self.connect_ms:
+            return False  # guards against queueing behind a machine that takes nothing
+        if name in self.open or name in self.waiting or name in self.killed:
+            return False  # guards against a late answer of an earlier attempt under the same name
+        return len(self.open) + len(self.waiting) < self.streams
+
+    def submit(self, job: Job) -> None:
+        """Queue a job; it is written in its turn."""
+        self.pending.append(job)
+        self.waiting.add(job.name)
+        self._wake()
+
+    def cancel(self, job: Job) -> bool:
+        """Give a job up, if it is here."""
+        name = job.name
+        if name in self.waiting and job in self.pending:
+            self.pending.remove(job)
+            self.waiting.discard(name)
+        elif self.open.get(name) is job:
+            del self.open[name]
+            self.killed.add(name)
+            if self.writing and self.writing[0] is job:
+                # half a command was written: nothing else can be, so no KILL and no new job
+                self.spoiled = True
+                self.stream.discard()
+                self._hand_back()
+            elif not self.spoiled:
+                self.pending.appendleft(resp.write_command(b"KILL", name))
+                self._wake()
+            if self.spoiled and not self.open:
+                self.stream.close("spoiled")
+        else:
+            return False
+        return True
+
+    def close(self, code: str) -> None:
+        """End it."""
+        self.stream.close(code)
+
+    def _wake(self) -> None:
+        if self.writer:
+            task, self.writer = self.writer, None
+            self.sched.wake(task)
+
+    def _run(self) -> None:
+        try:
+            self.stream.connect(self.address, self.connect_ms)
+            self.up = True
+            self.sched.spawn(self._write)
+            self._read()
+        except Closed as error:
+            self.stream.close(str(error))
+        except resp.BadResp:
+            self.stream.close("junk")
+        finally:
+            self.stream.close("fault")  # keeps its reason if it has one
+            self._settle()
+
+    def _read(self) -> None:
+        reader = resp.RespReader()
+        while True:
+            try:
+                data = self.stream.read(self.idle_ms * IDLE_SHARE)
+            except Closed as error:
+                if str(error) != "silent" or self.stream.code:
+                    raise
+                if self.open or self.waiting:
+                    continue  # the attempts' own time-outs see to a silent server
+                raise Closed("idle") from None
+            for items in reader.feed(data):
+                self._answer(items)
+
+    def _answer(self, items: list[bytes]) -> None:
+        if not 2 <= len(items) <= 4:
+            raise resp.BadResp(f"{len(items)} items")
+        job = self.open.pop(items[0], None)
+        if job is None:
+            self.killed.discard(items[0])  # it crossed the KILL, or answers nothing of ours: dropped
+            return
+        try:
+            fields = resp.read_fields(items[2]) if len(items) > 2 else {}
+            word = items[1].decode("ascii", "replace")
+        except resp.BadResp:
+            self.open[items[0]] = job  # ends with the connection
+            raise
+        self.done += 1
+        job.answered(word, fields, items[3] if len(items) > 3 else b"")
+        if self.spoiled and not self.open:
+            raise Closed("spoiled")
+
+    def _write(self) -> None:
+        while not self.stream.code and not self.spoiled:
+            if not self.pending:
+                self.writer = getcurrent()
+                self.sched.park()
+                continue
+            job = self.pending.popleft()
+            if isinstance(job, bytes):
+                data: bytes | None = job
+            else:
+                self.waiting.discard(job.name)
+                data = job.command()
+                if data is not None:
+                    self.open[job.name] = job
+            if data is not None:
+                self.writing = (job, now_ms())
+                self.stream.write_whole(data)
+                self.writing = None
+
+    def _hand_back(self) -> None:
+        jobs = [job for job in self.pending if not isinstance(job, bytes)]
+        self.pending.clear()
+        self.waiting.clear()
+        self.on_close(self, jobs)
+
+    def _settle(self) -> None:
+        """End what was written and hand back what was not: that can't have run."""
+        ended("server", self.server, self.stream.code, done=self.done, open=len(self.open))
+        jobs, self.open = list(self.open.values()), {}
+        self._wake()
+        if self.up:
+            self._hand_back()
+        else:
+            waiting = [job for job in self.pending if not isinstance(job, bytes)]
+            self.pending.clear()
+            self.waiting.clear()
+            self.on_close(self, [])
+            for job in waiting:
+                job.broken("econnrefused")
+        for job in jobs:
+            job.broken("econnreset")
--- /dev/null
+++ b/hitchtiller/back/upstreams.py
@@ -0,0 +1,113 @@
+"""The pools of connections to all listed servers."""
+
+from collections.abc import Callable
+from itertools import count
+
+from hitchtiller.back.jobs import Job, Meter, Pull
+from hitchtiller.back.link import Link
+from hitchtiller.codec.bus import Listed, Topology
+from hitchtiller.exchange import Attempt
+from hitchtiller.sched import Scheduler
+
+
+class Pool:
+    """The connections to one process at one address."""
+
+    def __init__(self, owner: "Upstreams", host: Listed) -> None:
+        """Start without a connection."""
+        self.owner, self.host = owner, host
+        self.links: list[Link] = []
+        self.closed = False
+
+    def submit(self, job: Job) -> None:
+        """Put a job on the first connection with room, else on a new one: few handshakes."""
+        link = next((link for link in self.links if link.room(job.name)), None)
+        if link is None:
+            if self.closed or self.owner.count >= self.owner.most:
+                job.broken("econnrefused")
+                return
+            link = self.owner.open(self)
+        link.submit(job)
+
+    def cancel(self, job: Job) -> None:
+        """Give a job up wherever it is."""
+        any(link.cancel(job) for link in self.links)
+
+    def ended(self, link: Link, unwritten: list[Job]) -> None:
+        """Take a connection's end; what was never written goes on another."""
+        if link.stream.code:
+            self.links.remove(link)
+            self.owner.count -= 1
+        for job in unwritten:
+            self.submit(job)
+
+    def close(self, code: str) -> None:
+        """End all connections, and with them what is out on them."""
+        self.closed = True
+        for link in list(self.links):
+            link.close(code)
+
+
+class Upstreams:
+    """Follows the list and carries attempts to the servers on it."""
+
+    def __init__(self, sched: Scheduler, times: tuple[float, float], streams: int, most: int) -> None:
+        """Hold at most `most` connections of `streams` attempts each."""
+        self.sched, self.times, self.streams, self.most = sched, times, streams, most
+        self.pools: dict[str, Pool] = {}
+        self.count = 0  # connections
+        self.numbers = count(1)
+
+    def open(self, pool: Pool) -> Link:
+        """Start a connection."""
+        host = pool.host
+        link = Link(self.sched, host.member.server, host.address, self.times, self.streams, pool.ended)
+        pool.links.append(link)
+        self.count += 1
+        return link
+
+    def send(self, attempt: Attempt) -> None:
+        """Carry an attempt to its server."""
+        pool = self.pools.get(attempt.get.server)
+        if pool is None:
+            attempt.drop("skipped")
+            return
+        attempt.place = (pool, Pull(attempt))
+        pool.submit(attempt.place[1])
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Give an attempt up."""
+        if attempt.place:
+            attempt.place[0].cancel(attempt.place[1])
+
+    def probe(self, server: str, report: Callable[[str, dict[str, float]], None]) -> None:
+        """Check a server."""
+        if pool := self.pools.get(server):
+            pool.submit(Meter(next(self.numbers), report))
+        else:
+            report("econnrefused", {})
+
+    def follow(self, news: Topology) -> Callable[[], None]:
+        """Take the list's news; a process that started anew, or elsewhere, gets a new pool."""
+        stale: list[Pool] = []
+        listed = {host.member.server for host in news.hosts}
+        gone = [server for server in self.pools if news.whole and server not in listed]
+        for host in news.hosts:
+            member = host.member
+            if member.state == "DELETED":
+                gone.append(member.server)
+                continue
+            pool = self.pools.get(member.server)
+            if pool and (pool.host.address, pool.host.member.started_ms) == (host.address, member.started_ms):
+                pool.host = host
+                continue
+            if pool:
+                stale.append(pool)
+            self.pools[member.server] = Pool(self, host)
+        stale += [self.pools.pop(server) for server in gone if server in self.pools]
+
+        def settle() -> None:
+            for pool in stale:
+                pool.close("gone")
+
+        return settle
--- /dev/null
+++ b/hitchtiller/codec/__init__.py
@@ -0,0 +1,1 @@
+"""Incremental codecs: bytes in, values out; no sockets, every size bounded."""
--- /dev/null
+++ b/hitchtiller/codec/bus.py
@@ -0,0 +1,150 @@
+"""The event bus: numbered frames with changes of the list and purges, and the same events in JSON."""
+
+import struct
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from hitchtiller import interface as api
+
+MOST = 1_048_576  # bytes of one frame
+HEAD = struct.Struct(">QB")
+RECORD = struct.Struct(">I4sHBBBHIQ")
+OBJECT, GROUP = struct.Struct(">QQ"), struct.Struct(">HQ")
+STATES = ("SERVING", "DRAINING", "DELETED")
+WORDS = {"Ready": "SERVING", "Terminating": "DRAINING", "Gone": "DELETED"}
+NOTHING, WHOLE, CHANGES, BAN_OBJECT, BAN_GROUP = range(5)
+
+
+class BadBus(Exception):
+    """The bytes or values are no event."""
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """A line of the list: the member, and where it listens."""
+
+    member: api.Member
+    address: tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Topology:
+    """News of the list."""
+
+    hosts: tuple[Listed, ...]
+    whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Ban:
+    """A purge of an object, or with no key of a group, at a Unix millisecond."""
+
+    key: int | None
+    group: int
+    at_ms: float
+
+
+Event = Topology | Ban
+Numbered = tuple[int, Event | None]  # None: nothing new
+
+
+def host_id(number: int) -> str:
+    """Write a server's id as text has it."""
+    return f"s-{number:08x}"
+
+
+def read_record(record: Sequence[Any], zones: Sequence[str], kinds: Sequence[str]) -> Listed:
+    """Read one record of the binary list."""
+    number, ip, port, state, zone, kind, cell, weight, started = record
+    if state >= len(STATES) or zone >= len(zones) or kind >= len(kinds):
+        raise BadBus(f"record of {host_id(number)}")
+    units = max(weight / 1000.0, 1e-6)
+    member = api.Member(
+        host_id(number), zones[zone], kinds[kind], STATES[state], float(started), units, cell
+    )
+    return Listed(member, (".".join(map(str, ip)), port))
+
+
+class BusReader:
+    """Feed it bytes, take numbered events."""
+
+    def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
+        """Zones and kinds are numbered by their places in the settings."""
+        self.zones, self.kinds = zones, kinds
+        self.buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[Numbered]:
+        """Give the events that are whole now; raise BadBus on what can't be one."""
+        self.buffer += data
+        while len(self.buffer) >= 4:
+            length = int.from_bytes(self.buffer[:4], "big")
+            if length > MOST:
+                raise BadBus(f"length {length}")
+            if len(self.buffer) < 4 + length:
+                return
+            frame = bytes(self.buffer[4 : 4 + length])
+            del self.buffer[: 4 + length]
+            if frame:  # the frame of each second may be wholly empty
+                yield self.event(frame)
+
+    def event(self, frame: bytes) -> Numbered:
+        """Read one frame."""
+        try:
+            number, kind = HEAD.unpack_from(frame)
+            payload = frame[HEAD.size :]
+            if kind == NOTHING:
+                return number, None
+            if kind in (WHOLE, CHANGES):
+                hosts = tuple(read_record(r, self.zones, self.kinds) for r in RECORD.iter_unpack(payload))
+                return number, Topology(hosts, kind == WHOLE)
+            if kind == BAN_OBJECT:
+                key, at = OBJECT.unpack(payload)
+                return number, Ban(key, -1, float(at))
+            if kind == BAN_GROUP:
+                group, at = GROUP.unpack(payload)
+                return number, Ban(None, group, float(at))
+        except struct.error as error:
+            raise BadBus(str(error)) from None
+        raise BadBus(f"kind {kind}")
+
+
+def read_dial(text: str) -> tuple[str, int]:
+    """Read an address and port."""
+    ip, _, port = text.rpartition(":")
+    if not ip or not port.isdigit():
+        raise BadBus(f"address {text!r}")
+    return ip, int(port)
+
+
+def read_host(host: dict[str, Any]) -> Listed:
+    """Read one host of the JSON list."""
+    member = api.Member(
+        host["host"],
+        host.get("site", ""),
+        host.get("class", ""),
+        WORDS[host["health"]],
+        float(host.get("born_ms", 0)),
+        max(float(host.get("share", 1.0)), 1e-6),
+        int(host.get("block", -1)),
+    )
+    return Listed(member, read_dial(host["dial"]))
+
+
+def read_known(known: dict[str, Any]) -> list[Numbered]:
+    """Read the events that the configuration holds; raise BadBus on what is none."""
+    events: list[Numbered] = []
+    try:
+        for entry in known.get("batch", []):
+            number = int(entry["offset"])
+            if "topology" in entry:
+                news = entry["topology"]
+                hosts = tuple(read_host(host) for host in news["hosts"])
+                events.append((number, Topology(hosts, bool(news.get("whole", False)))))
+            elif "ban" in entry:
+                ban = entry["ban"]
+                key = int(ban["url"], 16) if "url" in ban else None
+                events.append((number, Ban(key, int(ban.get("tag", -1)), float(ban["ts"]))))
+        return [*events, (int(known.get("offset", 0)), None)]
+    except (KeyError, ValueError, TypeError, AttributeError) as error:
+        raise BadBus(f"known: {error!r}") from None
--- /dev/null
+++ b/hitchtiller/codec/resp.py
@@ -0,0 +1,96 @@
+"""RESP arrays of bulk strings, as station caches speak them, and the FIELDS text in them."""
+
+from collections.abc import Iterator, Mapping, Sequence
+
+MOST_ITEMS = 8
+MOST_BULK = 262_144
+MOST_LINE = 16
+
+
+class BadResp(Exception):
+    """The bytes are not what a station cache may send."""
+
+
+class RespReader:
+    """Feed it bytes, take arrays; unread bytes stay under one array's bound."""
+
+    def __init__(self) -> None:
+        """Start between arrays."""
+        self.buffer = bytearray()
+        self.items: list[bytes] = []
+        self.left = 0  # bulk strings still to come in this array
+        self.bulk = -1  # size of the one under way
+
+    def feed(self, data: bytes) -> Iterator[list[bytes]]:
+        """Give the arrays that are whole now; raise BadResp on what can't be one."""
+        self.buffer += data
+        start = 0
+        try:
+            while True:
+                if self.bulk >= 0:
+                    end = start + self.bulk
+                    if len(self.buffer) < end + 2:
+                        return
+                    if self.buffer[end : end + 2] != b"\r\n":
+                        raise BadResp("bulk string without its end")
+                    self.items.append(bytes(memoryview(self.buffer)[start:end]))
+                    start, self.bulk, self.left = end + 2, -1, self.left - 1
+                    if not self.left:
+                        items, self.items = self.items, []
+                        yield items
+                    continue
+                end = self.buffer.find(b"\r\n", start, start + MOST_LINE)
+                if end < 0:
+                    if len(self.buffer) - start >= MOST_LINE:
+                        raise BadResp("line too long")
+                    return
+                mark, digits = self.buffer[start : start + 1], bytes(self.buffer[start + 1 : end])
+                if mark != (b"$" if self.left else b"*") or not digits.isdigit():
+                    raise BadResp(f"unexpected {bytes(self.buffer[start:end])!r}")
+                size, start = int(digits), end + 2
+                if size > (MOST_BULK if self.left else MOST_ITEMS):
+                    raise BadResp(f"size {size}")
+                if self.left:
+                    self.bulk = size
+                else:
+                    self.left = size
+        finally:
+            del self.buffer[:start]
+
+
+def write_command(*parts: bytes) -> bytes:
+    """Write one array."""
+    out = [b"*%d\r\n" % len(parts)]
+    for part in parts:
+        out += (b"$%d\r\n" % len(part), part, b"\r\n")
+    return b"".join(out)
+
+
+def write_fields(fields: Mapping[str, str]) -> bytes:
+    """Write FIELDS; `-` where there are none."""
+    return ",".join(f"{name}={value}" for name, value in fields.items()).encode() or b"-"
+
+
+def read_fields(data: bytes) -> dict[str, str]:
+    """Read FIELDS; raise BadResp on what is none."""
+    if data in (b"-", b""):
+        return {}
+    try:
+        pairs = [pair.partition("=") for pair in data.decode().split(",")]
+    except UnicodeDecodeError:
+        raise BadResp("fields are not text") from None
+    if not all(sign for _, sign, _ in pairs):
+        raise BadResp("field without a value")
+    return {name: value for name, _, value in pairs}
+
+
+def read_report(text: str, names: Sequence[str] = ()) -> dict[str, float]:
+    """Read a load report, `inflight:7;util:0.61`; what is no number is passed over."""
+    report = {}
+    for pair in text.split(";"):
+        name, _, value = pair.partition(":")
+        try:
+            report[name] = float(value)
+        except ValueError:
+            continue
+    return {name: value for name, value in report.items() if not names or name in names}
--- /dev/null
+++ b/hitchtiller/config.py
@@ -0,0 +1,89 @@
+"""BALANCER_* and the JSON file they point at, checked; a ConfigError says in one line what is wrong."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from hitchtiller import interface as api
+from hitchtiller.codec.bus import BadBus, Numbered, read_dial, read_known
+from hitchtiller.settings import read_settings
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """What is missing or wrong, in one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a gateway is told at its start."""
+
+    name: str
+    listen: Address
+    seed: int
+    sockets: int
+    memory_mb: float
+    bus: Address
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    known: list[Numbered]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    settings: api.Settings
+    connect_ms: float
+    idle_ms: float
+    streams: int  # attempts carried together on one connection
+
+
+def read_config(environ: Mapping[str, str]) -> Config:
+    """Read and check the configuration; the variables go before what the file says."""
+    path = environ.get("BALANCER_CONFIG")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG is not set")
+    try:
+        data = json.loads(Path(path).read_text())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{path}: not JSON: {error}") from None
+    if not isinstance(data, dict):
+        raise ConfigError(f"{path}: not an object")
+    try:
+        return _config(data, environ)
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error.args[0]!r} is missing") from None
+    except (ValueError, TypeError, AttributeError, IndexError, BadBus) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def _config(data: dict[str, Any], environ: Mapping[str, str]) -> Config:
+    setup, limits = data["settings"], data.get("limits", {})
+    settings = read_settings(setup)
+    if settings.my_zone not in settings.zones:
+        raise ConfigError(f"my_zone {settings.my_zone!r} is not one of localities")
+    peers = tuple(read_dial(peer) for peer in data.get("peers", []))
+    if settings.peers and len(peers) != settings.group_size:
+        raise ConfigError(f"{len(peers)} peers for {settings.group_size} gateways")
+    rules = setup.get("limits", {})
+    listen = environ.get("BALANCER_LISTEN") or data["listen"]
+    peer_listen = data.get("peer_listen")
+    return Config(
+        name=environ.get("BALANCER_NAME") or str(data["name"]),
+        listen=read_dial(listen),
+        seed=int(str(data["seed"]), 16),
+        sockets=int(limits.get("sockets", 1024)),
+        memory_mb=float(limits.get("memory_mb", 192)),
+        bus=read_dial(data["bus"]),
+        peer_listen=read_dial(peer_listen) if peer_listen else None,
+        peers=peers,
+        known=read_known(data.get("known", {})),
+        zones=settings.zones,
+        kinds=tuple(setup["skus"]),
+        settings=settings,
+        connect_ms=float(rules.get("connect_timeout_ms", 400.0)),
+        idle_ms=float(rules.get("conn_idle_ms", 15_000.0)),
+        streams=int(rules.get("multiplex", 32)),
+    )
--- a/hitchtiller/decide.py
+++ b/hitchtiller/decide.py
@@ -143,6 +143,14 @@
         same = {"zone": a.zone == b.zone, "cell": a.cell == b.cell}.get(cls.key_scope, True)
         return same and cls.effect == "by_key" and self.now < since + cls.repeat_window_ms - MARGIN_MS
 
+    def release(self, id: int, shot: int, now_ms: float) -> float | None:
+        """Guards again at an attempt's first byte: its age bound then, or None if it may not go."""
+        held, attempt, self.now = self.held.get(id), self.flights.get((id, shot)), now_ms
+        if not held or not attempt or now_ms >= held.ask.deadline_ms:
+            return None
+        serving = attempt.node.m.state == "SERVING" and attempt.source.m.state == "SERVING"
+        return self.oldest(held, attempt.stage) if serving else None
+
     def usable(self, node: Node) -> bool:
         """Tell whether a server may be picked: listed, not left out, or due for its single trial."""
         return node.m.state == "SERVING" and self.now >= node.out_until and not (node.trial and node.flights)
--- /dev/null
+++ b/hitchtiller/engine.py
@@ -0,0 +1,236 @@
+"""Carries events to the decisions and their actions out; knows exchanges, no protocol and no socket."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from itertools import count
+from typing import Protocol
+
+from loguru import logger
+
+from hitchtiller import interface as api
+from hitchtiller.codec.bus import Ban, Event, Topology
+from hitchtiller.decide import Router
+from hitchtiller.exchange import FAILED, REFUSED, SERVED, Answer, Ask, Attempt, Clearance, Ending, Exchange
+
+OVERDUE_MS = 15.0  # after a request's deadline: the decisions have had their chance to answer
+
+
+class Timer(Protocol):
+    """What a clock gives for a later call."""
+
+    def cancel(self) -> None:
+        """Take the call back."""
+
+
+class Clock(Protocol):
+    """Time in Unix milliseconds, and later calls."""
+
+    def now_ms(self) -> float:
+        """Read the clock."""
+
+    def later(self, delay_ms: float, call: Callable[[], object]) -> Timer:
+        """Call later."""
+
+
+class Back(Protocol):
+    """The server side."""
+
+    def send(self, attempt: Attempt) -> None:
+        """Carry an attempt to its server."""
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Give an attempt up; its end is reported by the caller."""
+
+    def probe(self, server: str, report: Callable[[str, dict[str, float]], None]) -> None:
+        """Check a server."""
+
+    def follow(self, news: Topology) -> Callable[[], None]:
+        """Take the list's news; the call that it gives ends what was out on processes that are gone."""
+
+
+@dataclass(slots=True)
+class Counts:
+    """What the log's regular line tells."""
+
+    taken: int = 0
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    left: int = 0
+
+
+class Engine:
+    """The events of one gateway, in order, into `Router.handle`; the actions out."""
+
+    def __init__(
+        self,
+        router: Router,
+        clock: Clock,
+        back: Back,
+        tell: Callable[[int, api.PeerNote], None],
+    ) -> None:
+        """Join the parts."""
+        self.router, self.clock, self.back, self.tell = router, clock, back, tell
+        self.open: dict[int, Exchange] = {}
+        self.numbers = count(1)
+        self.events: deque[api.Event] = deque()
+        self.busy = False
+        self.counts = Counts()
+
+    # Client side
+
+    def take(self, ask: Ask, deliver: Callable[[Answer], None]) -> Exchange:
+        """Take a request; `deliver` gets its final answer, unless it leaves."""
+        exchange = Exchange(next(self.numbers), ask, deliver)
+        self.open[exchange.number] = exchange
+        self.counts.taken += 1
+        delay = ask.deadline_ms - self.clock.now_ms() + OVERDUE_MS
+        exchange.guard = self.clock.later(delay, partial(self.overdue, exchange)).cancel
+        self.give(
+            api.Request(
+                exchange.number, ask.class_name, ask.key, ask.deadline_ms, ask.size_kb, ask.group, ask.part
+            )
+        )
+        return exchange
+
+    def leave(self, exchange: Exchange) -> None:
+        """Nobody waits for it any more: stop its attempts."""
+        if exchange.close():
+            self.counts.left += 1
+            self.abandon(exchange)
+
+    def overdue(self, exchange: Exchange) -> None:
+        """Answer in place of decisions that did not: a request must never stay without an end."""
+        logger.warning("request {} was overdue", exchange.ask.id)
+        self.finish(exchange, Answer(FAILED))
+        self.abandon(exchange)
+
+    def abandon(self, exchange: Exchange) -> None:
+        """Tell the decisions that a request is over and cancel what is out for it."""
+        self.open.pop(exchange.number, None)
+        self.give(api.Left(exchange.number))
+        for attempt in exchange.attempts:
+            self.cancel(attempt, "ecanceled")
+
+    def finish(self, exchange: Exchange, answer: Answer) -> None:
+        """Give the final answer, once."""
+        self.open.pop(exchange.number, None)
+        if exchange.finish(answer):
+            setattr(self.counts, answer.kind, getattr(self.counts, answer.kind) + 1)
+
+    # News
+
+    def news(self, event: Event) -> None:
+        """Take an event of the bus."""
+        if isinstance(event, Ban):
+            age = max(0.0, self.clock.now_ms() - event.at_ms)
+            self.give(api.Purged(event.key, event.group, age))
+            return
+        settle = self.back.follow(event)  # new servers are known before the decisions name them,
+        self.give(api.Members(tuple(host.member for host in event.hosts), whole=event.whole))
+        settle()  # and gone ones end their attempts once the decisions know to go elsewhere
+
+    # Decisions
+
+    def give(self, event: api.Event) -> None:
+        """Hand an event over; events that come of its actions follow it in order."""
+        self.events.append(event)
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.events:
+                self.step(self.events.popleft())
+        finally:
+            self.busy = False
+
+    def step(self, event: api.Event) -> None:
+        """Decide on one event; a fault ends the one request concerned, not the program."""
+        try:
+            for action in self.router.handle(event, self.clock.now_ms()):
+                self.act(action)
+        except Exception:  # noqa: BLE001  an exception for one request must not lose the others
+            logger.exception("deciding on {} failed", type(event).__name__)
+            exchange = self.open.get(getattr(event, "id", 0))
+            if exchange and not isinstance(event, api.Left):
+                self.finish(exchange, Answer(FAILED))
+                self.abandon(exchange)
+
+    def act(self, action: api.Action) -> None:
+        """Carry out one action."""
+        match action:
+            case api.Get():
+                self.send(action)
+            case api.Refuse():
+                if exchange := self.open.get(action.id):
+                    self.finish(exchange, Answer(REFUSED, wait_ms=action.retry_after_ms))
+            case api.Fail():
+                if exchange := self.open.get(action.id):
+                    self.finish(exchange, Answer(FAILED))
+            case api.Cancel():
+                if exchange := self.open.get(action.id):
+                    self.cancel(exchange.attempts[action.attempt], "ecanceled")
+            case api.SetTimer():
+                self.clock.later(action.delay_ms, partial(self.give, api.TimerDue(action.token)))
+            case api.Tell():
+                self.tell(action.peer, action.note)
+            case api.Probe():
+                begun = self.clock.now_ms()
+                self.back.probe(action.server, partial(self.probed, action.server, begun))
+            case api.Log():
+                logger.info("{}", action.text)
+            case api.Watch():
+                pass  # the bus tells unasked
+
+    def probed(self, server: str, begun: float, status: str, load: dict[str, float]) -> None:
+        """Take a probe's result."""
+        self.give(api.Probed(server, status, self.clock.now_ms() - begun, load))
+
+    def send(self, get: api.Get) -> None:
+        """Make an attempt."""
+        exchange = self.open.get(get.id)
+        if exchange is None:
+            return
+        now = self.clock.now_ms()
+        attempt = Attempt(exchange, get, now, self.clear, self.ended)
+        left = exchange.ask.deadline_ms - now
+        wait = min(get.timeout_ms, left) if get.timeout_ms else left
+        attempt.timeout = self.clock.later(wait, partial(self.cancel, attempt, "etimedout")).cancel
+        self.back.send(attempt)
+
+    def clear(self, attempt: Attempt) -> Clearance | None:
+        """Ask the decisions again at the first byte: drains and purges may have come since."""
+        now = self.clock.now_ms()
+        if attempt.ended or attempt.exchange.over:
+            return None
+        try:
+            cap = self.router.release(attempt.get.id, attempt.shot, now)
+        except Exception:  # noqa: BLE001  it would take a connection's other jobs along
+            logger.exception("clearing an attempt failed")
+            return None
+        return None if cap is None else Clearance(cap, attempt.exchange.ask.deadline_ms - now)
+
+    def cancel(self, attempt: Attempt, word: str) -> None:
+        """Give an attempt up."""
+        if not attempt.ended:
+            self.back.cancel(attempt)
+            attempt.drop(word)
+
+    def ended(self, attempt: Attempt, ending: Ending) -> None:
+        """Take an attempt's end: the first served one is the answer."""
+        exchange = attempt.exchange
+        if ending.status == "done" and not exchange.over:
+            self.finish(exchange, Answer(SERVED, ending.body, ending.unchanged, ending.tag))
+        self.give(
+            api.Outcome(
+                attempt.get.id,
+                attempt.shot,
+                attempt.get.server,
+                ending.status,
+                self.clock.now_ms() - attempt.sent_ms,
+                closed=exchange.over,
+                load=ending.load,
+            )
+        )
--- /dev/null
+++ b/hitchtiller/exchange.py
@@ -0,0 +1,129 @@
+"""Where client side and server side meet: a request, its attempts, and its one final answer."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from loguru import logger
+
+from hitchtiller import interface as api
+
+SERVED, REFUSED, FAILED = "served", "refused", "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A request as any front reads it; texts are passed on as the client wrote them."""
+
+    id: str
+    class_name: str
+    object: str
+    key: int
+    deadline_ms: float
+    part: int = 0
+    group: int = -1
+    size_kb: float = 0.0
+    body: bytes = b""
+    dedupe: str = ""
+    have: str = ""  # tag of the copy that the client holds
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A final answer as any front writes it."""
+
+    kind: str
+    body: bytes = b""
+    unchanged: bool = False
+    tag: str = ""
+    wait_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """How an attempt ended, in the decisions' words, with what a served one brought."""
+
+    status: str
+    body: bytes = b""
+    unchanged: bool = False
+    tag: str = ""
+    load: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Clearance:
+    """What is settled only when an attempt's first byte goes out."""
+
+    cap_ms: float
+    ttl_ms: float
+
+
+class Attempt:
+    """One send of an exchange; it ends once, whoever says so first."""
+
+    __slots__ = (
+        "clear", "ended", "exchange", "get", "on_end", "place", "sent_ms", "shot", "timeout", "written"
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        exchange: "Exchange",
+        get: api.Get,
+        sent_ms: float,
+        clear: Callable[["Attempt"], Clearance | None],
+        on_end: Callable[["Attempt", Ending], None],
+    ) -> None:
+        """Make the next attempt; `clear` is asked again before the first byte."""
+        self.exchange, self.get, self.sent_ms = exchange, get, sent_ms
+        self.shot = len(exchange.attempts)
+        self.clear, self.on_end = clear, on_end
+        self.timeout: Callable[[], None] | None = None  # takes its timer back
+        self.place: Any = None  # where the server side put it
+        self.written = False  # its first byte went out: from here it may run
+        self.ended = False
+        exchange.attempts.append(self)
+
+    def end(self, ending: Ending) -> None:
+        """Report the end; a second report is passed over."""
+        if self.ended:
+            return
+        self.ended = True
+        if self.timeout:
+            self.timeout()
+        self.on_end(self, ending)
+
+    def drop(self, word: str) -> None:
+        """End with a word, or with `skipped` if it was never written: then it can't have run."""
+        self.end(Ending(word if self.written else "skipped"))
+
+
+class Exchange:
+    """A taken request: it is owed exactly one final answer, unless its client leaves."""
+
+    __slots__ = ("ask", "attempts", "deliver", "guard", "number", "over")
+
+    def __init__(self, number: int, ask: Ask, deliver: Callable[[Answer], None]) -> None:
+        """Take a request; `deliver` carries the final answer to the client."""
+        self.number, self.ask, self.deliver = number, ask, deliver
+        self.attempts: list[Attempt] = []
+        self.guard: Callable[[], None] | None = None  # takes the overdue timer back
+        self.over = False
+
+    def finish(self, answer: Answer) -> bool:
+        """Answer; False if the exchange was over: a second answer would lose the request."""
+        if not self.close():
+            return False
+        try:
+            self.deliver(answer)
+        except Exception:  # noqa: BLE001  a front's fault must not reach the engine's other requests
+            logger.exception("an answer could not be delivered")
+        return True
+
+    def close(self) -> bool:
+        """End without an answer: the client has left."""
+        if self.over:
+            return False
+        self.over = True
+        if self.guard:
+            self.guard()
+        return True
--- /dev/null
+++ b/hitchtiller/front/__init__.py
@@ -0,0 +1,1 @@
+"""The client side: the platform's frames on TCP."""
--- /dev/null
+++ b/hitchtiller/front/asks.py
@@ -0,0 +1,87 @@
+"""A request frame's fields, checked, as an Ask; an Answer as fields."""
+
+import math
+import re
+from collections.abc import Mapping
+
+from hitchtiller import interface as api
+from hitchtiller.codec import frames
+from hitchtiller.exchange import REFUSED, SERVED, Answer, Ask
+
+MOST_BODY = 48_000
+LONGEST_MS = 3_600_000.0
+MARGIN_MS = 30.0  # of what the client waits, left for both ways and for the loop
+HEX16 = re.compile(r"[0-9a-fA-F]{16}\Z")
+TOKEN = re.compile(r"[0-9A-Za-z_.:+/-]{1,128}\Z")  # nothing that FIELDS would read as a sign
+WHOLE = re.compile(r"[0-9]{1,9}\Z")
+CODES = {SERVED: frames.SERVED, REFUSED: frames.REFUSED}
+
+
+class BadAsk(Exception):
+    """A well-framed request that can't be used."""
+
+
+def _whole(fields: Mapping[str, str], name: str, default: int, most: int) -> int:
+    text = fields.get(name)
+    if text is None:
+        return default
+    if not WHOLE.match(text) or int(text) > most:
+        raise BadAsk(f"{name}={text[:20]!r}")
+    return int(text)
+
+
+def _number(fields: Mapping[str, str], name: str, default: str = "") -> float:
+    try:
+        value = float(fields.get(name, default))
+    except ValueError:
+        value = math.nan
+    if not 0.0 <= value <= 1e9:
+        raise BadAsk(f"{name}={fields.get(name, '')[:20]!r}")
+    return value
+
+
+def _text(fields: Mapping[str, str], name: str, form: re.Pattern[str], needed: bool = True) -> str:
+    text = fields.get(name, "")
+    if (needed or text) and not form.match(text):
+        raise BadAsk(f"{name}={text[:20]!r}")
+    return text
+
+
+def read_ask(payload: bytes, settings: api.Settings, arrived_ms: float) -> Ask:
+    """Read a request; BadAsk for what can't be used, frames.BadFrame for what is no list of fields."""
+    fields, end = frames.read_fields(payload)
+    cls = settings.classes.get(fields.get("c", ""))
+    if cls is None:
+        raise BadAsk(f"class {fields.get('c', '')[:20]!r}")
+    if len(payload) - end > MOST_BODY:
+        raise BadAsk("body too long")
+    wait = _number(fields, "d")
+    if not 0.0 < wait <= LONGEST_MS:
+        raise BadAsk(f"d={wait}")
+    name = _text(fields, "o", HEX16)
+    return Ask(
+        id=_text(fields, "i", HEX16),
+        class_name=cls.name,
+        object=name,
+        key=int(name, 16),
+        deadline_ms=arrived_ms + wait - min(MARGIN_MS, wait / 4.0),
+        part=_whole(fields, "piece", 0, 0xFFFF),
+        group=_whole(fields, "lot", -1, 255),
+        size_kb=_number(fields, "m", "0"),
+        body=payload[end:],
+        dedupe=_text(fields, "k", TOKEN, needed=cls.effect == "by_key"),
+        have=_text(fields, "ver", TOKEN, needed=False),
+    )
+
+
+def write_answer(stream: int, answer: Answer) -> tuple[bytes, bytes]:
+    """Write an answer's frame in two parts, so that its body is not copied."""
+    fields = {}
+    if answer.kind == REFUSED and answer.wait_ms > 0.0:
+        fields["w"] = str(math.ceil(answer.wait_ms))
+    if answer.kind == SERVED and answer.unchanged:
+        fields["unchanged"] = "1"
+    if answer.kind == SERVED and answer.tag:
+        fields["ver"] = answer.tag
+    code = CODES.get(answer.kind, frames.FAILED)
+    return frames.answer_head(stream, code, fields, len(answer.body)), answer.body
--- /dev/null
+++ b/hitchtiller/front/server.py
@@ -0,0 +1,96 @@
+"""Accepts clients and keeps them within the limits; leaves in order when told to stop."""
+
+import socket
+
+from hitchtiller import interface as api
+from hitchtiller.engine import Engine
+from hitchtiller.front.client import Client
+from hitchtiller.log import ended
+from hitchtiller.sched import READ, Scheduler, Stream
+
+BACKLOG = 512
+ACCEPT_MS = 450.0  # after the word to stop, connections may come for 0.4 s
+REQUESTS_MS = 350.0  # and on open ones requests for 0.2 s more
+GONE_MS = 6_000.0  # by then the longest deadline has passed
+MOST_HELD = 32_000_000  # bytes that clients have not taken yet, in all
+
+
+class Front:
+    """The listener and its clients."""
+
+    def __init__(self, sched: Scheduler, engine: Engine, settings: api.Settings, most: int) -> None:
+        """Serve at most `most` clients at once."""
+        self.sched, self.engine, self.settings, self.most = sched, engine, settings, most
+        self.clients: set[Client] = set()
+        self.stopping = False
+        self.shut = False  # no more requests are taken
+        self.listener = socket.socket()
+
+    def listen(self, address: tuple[str, int]) -> tuple[str, int]:
+        """Start to accept; gives the address, with the port that the system chose for 0."""
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.setblocking(False)
+        self.listener.bind(address)
+        self.listener.listen(BACKLOG)
+        self.sched.spawn(self._accept)
+        host, port = self.listener.getsockname()
+        return str(host), int(port)
+
+    def ready(self) -> bool:
+        """Tell whether requests can be served here."""
+        return bool(self.engine.router.nodes) and not self.stopping
+
+    def takes(self) -> bool:
+        """Tell whether one more request can be held."""
+        return not self.shut and sum(client.stream.size for client in self.clients) < MOST_HELD
+
+    def gone(self, client: Client) -> None:
+        """Forget a client."""
+        self.clients.discard(client)
+
+    def _accept(self) -> None:
+        while not self.shut:
+            self.sched.wait(self.listener.fileno(), READ)
+            self._accept_all()
+
+    def _accept_all(self) -> None:
+        while not self.shut:
+            try:
+                sock, address = self.listener.accept()
+            except BlockingIOError:
+                return
+            except OSError:
+                self.sched.sleep(10.0)  # out of descriptors, or the client left: neither may end the loop
+                return
+            peer = f"{address[0]}:{address[1]}"
+            if len(self.clients) >= self.most:
+                sock.close()
+                ended("client", peer, "full")
+                continue
+            client = Client(self, Stream(self.sched, sock), peer)
+            self.clients.add(client)
+            self.sched.spawn(client.run)
+
+    def stop(self) -> None:
+        """Leave: accept for the stated while, say so to all, answer what is in hand, then end the loop."""
+        if self.stopping:
+            return
+        self.stopping = True
+        self.sched.sleep(ACCEPT_MS)
+        self._accept_all()  # what the machine accepted counts as ours
+        self.sched.forget(self.listener.fileno())
+        self.listener.close()
+        for client in list(self.clients):
+            client.going()
+        waited = 0.0
+        while waited < REQUESTS_MS or (waited < GONE_MS and self._busy()):
+            self.sched.sleep(10.0)
+            waited += 10.0
+        self.shut = True
+        for client in list(self.clients):
+            client.stream.close("stop")
+        self.sched.sleep(10.0)
+        self.sched.stopped = True
+
+    def _busy(self) -> bool:
+        return any(client.open or client.stream.size for client in self.clients)
--- /dev/null
+++ b/hitchtiller/peers.py
@@ -0,0 +1,44 @@
+"""Notes to and from the other gateways, as datagrams."""
+
+import contextlib
+import socket
+
+from hitchtiller import interface as api
+from hitchtiller.codec.notes import pack, unpack
+from hitchtiller.engine import Engine
+from hitchtiller.sched import READ, Scheduler
+
+MOST = 256  # bytes of a datagram
+AT_ONCE = 64  # datagrams read in one turn
+
+
+class Peers:
+    """One UDP socket; a sender is known by its address."""
+
+    def __init__(self, sched: Scheduler, listen: tuple[str, int], peers: tuple[tuple[str, int], ...]) -> None:
+        """Bind; a gateway's number is its address's place in `peers`."""
+        self.sched, self.peers = sched, peers
+        self.numbers = {address: number for number, address in enumerate(peers)}
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind(listen)
+
+    def tell(self, peer: int, note: api.PeerNote) -> None:
+        """Send a note; like any datagram it may be lost."""
+        data = pack(note)
+        if 0 <= peer < len(self.peers) and len(data) <= MOST:
+            with contextlib.suppress(OSError):
+                self.sock.sendto(data, self.peers[peer])
+
+    def run(self, engine: Engine) -> None:
+        """Carry notes to the engine; what is no note of a known peer is dropped."""
+        while True:
+            self.sched.wait(self.sock.fileno(), READ)
+            for _ in range(AT_ONCE):
+                try:
+                    data, sender = self.sock.recvfrom(MOST + 1)
+                except OSError:
+                    break
+                number, note = self.numbers.get(sender), unpack(data)
+                if number is not None and note is not None:
+                    engine.give(api.PeerMessage(number, note))
--- /dev/null
+++ b/hitchtiller/sched.py
@@ -0,0 +1,294 @@
+"""A scheduler of greenlets over select.poll: timers in a heap, non-blocking sockets, bounded buffers."""
+
+import errno
+import heapq
+import select
+import socket
+import time
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from itertools import count
+from typing import Any
+
+from greenlet import getcurrent, greenlet
+from loguru import logger
+
+CHUNK = 65_536  # bytes asked of a socket at once
+GATHER = 16  # buffers handed to one sendmsg
+READ = select.POLLIN
+WRITE = select.POLLOUT
+
+
+def now_ms() -> float:
+    """Read the one clock that everything here goes by: Unix milliseconds."""
+    return time.time() * 1000.0
+
+
+class Timer:
+    """A call that is due at a time, unless it is cancelled."""
+
+    __slots__ = ("call", "due")
+
+    def __init__(self, due: float, call: Callable[[], object]) -> None:
+        """Note when to call what."""
+        self.due = due
+        self.call: Callable[[], object] | None = call
+
+    def cancel(self) -> None:
+        """Let it pass; what it holds is freed at once."""
+        self.call = None
+
+
+class Scheduler:
+    """Runs greenlets on one thread; each waits for a socket, a signal or a time."""
+
+    def __init__(self) -> None:
+        """Start with nothing to run."""
+        self.poll = select.poll()
+        self.waits: dict[int, dict[int, greenlet]] = {}  # descriptor: event: who waits
+        self.ready: deque[tuple[greenlet, Any]] = deque()
+        self.heap: list[tuple[float, int, Timer]] = []
+        self.order = count()
+        self.hub: greenlet = getcurrent()
+        self.stopped = False
+        self.lag_ms = 0.0  # longest turn of the loop since it was last read
+
+    def spawn(self, run: Callable[..., object], *args: Any) -> greenlet:
+        """Start a greenlet; an exception in it is logged and ends it alone, never the loop."""
+
+        def guarded(_: object = None) -> None:
+            try:
+                run(*args)
+            except Exception:  # noqa: BLE001  one connection's fault must not take the others along
+                logger.exception("a task failed")
+
+        task = greenlet(guarded, parent=self.hub)
+        self.ready.append((task, None))
+        return task
+
+    def later(self, delay_ms: float, call: Callable[[], object]) -> Timer:
+        """Call something after a while, in the loop."""
+        timer = Timer(time.monotonic() + max(0.0, delay_ms) / 1000.0, call)
+        heapq.heappush(self.heap, (timer.due, next(self.order), timer))
+        return timer
+
+    def wake(self, task: greenlet, value: Any = None) -> None:
+        """Let a parked greenlet go on in this turn of the loop."""
+        self.ready.append((task, value))
+
+    def park(self) -> Any:
+        """Stop the current greenlet until it is woken; gives what it was woken with."""
+        return self.hub.switch()
+
+    def sleep(self, delay_ms: float) -> None:
+        """Park for a while."""
+        me = getcurrent()
+        self.later(delay_ms, lambda: self.wake(me))
+        self.park()
+
+    def wait(self, fd: int, event: int, timeout_ms: float | None = None) -> bool:
+        """Park until a descriptor is ready (also: has failed or was closed); False if time ran out."""
+        me = getcurrent()
+        events = self.waits.setdefault(fd, {})
+        events[event] = me
+        self._watch(fd)
+        timer = None
+        if timeout_ms is not None:
+            timer = self.later(timeout_ms, lambda: self._resume(fd, event, False))
+        try:
+            return bool(self.park())
+        finally:
+            if timer:
+                timer.cancel()
+
+    def _watch(self, fd: int) -> None:
+        mask = 0
+        for event in self.waits.get(fd, ()):
+            mask |= event
+        if mask:
+            self.poll.register(fd, mask)
+        else:
+            self.waits.pop(fd, None)
+            with suppress(KeyError):
+                self.poll.unregister(fd)
+
+    def _resume(self, fd: int, event: int, value: bool) -> None:
+        task = self.waits.get(fd, {}).pop(event, None)
+        if task is not None:
+            self._watch(fd)
+            self.ready.append((task, value))
+
+    def forget(self, fd: int) -> None:
+        """Wake whoever waits for a descriptor that is about to be closed."""
+        for event in list(self.waits.get(fd, ())):
+            self._resume(fd, event, True)
+
+    def run(self) -> None:
+        """Run until stopped."""
+        self.hub = getcurrent()
+        while not self.stopped:
+            self.turn()
+
+    def turn(self) -> None:
+        """Wait for what comes first, then run all that is due."""
+        timeout = None
+        if self.ready:
+            timeout = 0.0
+        elif self.heap:
+            timeout = max(0.0, (self.heap[0][0] - time.monotonic()) * 1000.0)
+        try:
+            # poll counts whole milliseconds; rounding up keeps a timer from spinning the loop
+            found = self.poll.poll(None if timeout is None else int(timeout + 0.999))
+        except InterruptedError:
+            found = []
+        begun = time.monotonic()
+        for fd, mask in found:
+            failed = mask & ~(READ | WRITE)
+            for event in list(self.waits.get(fd, ())):
+                if failed or mask & event:
+                    self._resume(fd, event, True)
+        while self.heap and self.heap[0][0] <= begun:
+            timer = heapq.heappop(self.heap)[2]
+            if timer.call is not None:
+                try:
+                    timer.call()
+                except Exception:  # noqa: BLE001  one late call must not take the loop along
+                    logger.exception("a timer failed")
+        for _ in range(len(self.ready)):
+            task, value = self.ready.popleft()
+            if not task.dead:
+                task.switch(value)
+        self.lag_ms = max(self.lag_ms, (time.monotonic() - begun) * 1000.0)
+
+
+class Clock:
+    """The scheduler's time, as the engine wants it."""
+
+    def __init__(self, sched: Scheduler) -> None:
+        """Call later by way of a scheduler."""
+        self.now_ms = now_ms
+        self.later = sched.later
+
+
+class Closed(Exception):
+    """A socket's stream has ended; the text is the reason code."""
+
+
+class Stream:
+    """A non-blocking TCP socket: reads park, writes are buffered up to a bound."""
+
+    opened = 0  # sockets of this process
+
+    def __init__(self, sched: Scheduler, sock: socket.socket) -> None:
+        """Take a socket over."""
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sched, self.sock, self.fd = sched, sock, sock.fileno()
+        self.out: deque[memoryview] = deque()
+        self.size = 0  # bytes that wait in `out`
+        self.progress_ms = 0.0  # when bytes last left it
+        self.flushing = False
+        self.code = ""  # why it was closed
+        self.last_code = ""  # why it closes once all is sent
+        Stream.opened += 1
+
+    def connect(self, address: tuple[str, int], timeout_ms: float) -> None:
+        """Connect or raise Closed: `refused`, or `silent` where nothing came in time."""
+        error = self.sock.connect_ex(address)
+        if error == errno.EINPROGRESS:
+            if not self.sched.wait(self.fd, WRITE, timeout_ms):
+                raise Closed("silent")
+            if self.code:
+                raise Closed(self.code)
+            error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise Closed("refused")
+
+    def read(self, timeout_ms: float | None = None) -> bytes:
+        """Wait for bytes; raise Closed with eof, reset, silent or the code it was closed with."""
+        while True:
+            if self.code:
+                raise Closed(self.code)
+            try:
+                data = self.sock.recv(CHUNK)
+            except BlockingIOError:
+                if not self.sched.wait(self.fd, READ, timeout_ms):
+                    raise Closed("silent") from None
+                continue
+            except OSError:
+                raise Closed("reset") from None
+            if not data:
+                raise Closed("eof")
+            return data
+
+    def write(self, *parts: bytes | memoryview) -> None:
+        """Send at once what the socket takes and buffer the rest; the caller bounds `size`."""
+        if self.code:
+            return
+        for part in parts:
+            if len(part):
+                self.out.append(memoryview(part))
+                self.size += len(part)
+        if not self.flushing:
+            self._push()
+            if self.out and not self.code:
+                self.flushing = True
+                self.sched.spawn(self._flush)
+
+    def write_whole(self, data: bytes) -> bool:
+        """Send all of it, parking while the socket takes no more; False if the end came first."""
+        self.flushing = True
+        self.write(data)
+        self._push()
+        self._flush()
+        return not self.code
+
+    def discard(self) -> None:
+        """Drop what has not been sent: nothing sensible can be written after it."""
+        self.out.clear()
+        self.size = 0
+
+    def _push(self) -> None:
+        while self.out:
+            try:
+                sent = self.sock.sendmsg([self.out[i] for i in range(min(GATHER, len(self.out)))])
+            except BlockingIOError:
+                return
+            except OSError:
+                self.close("reset")
+                return
+            self.size -= sent
+            self.progress_ms = now_ms()
+            while sent:
+                head = self.out[0]
+                if sent < len(head):
+                    self.out[0] = head[sent:]
+                    break
+                sent -= len(head)
+                self.out.popleft()
+
+    def _flush(self) -> None:
+        while self.out and not self.code:
+            self.sched.wait(self.fd, WRITE)
+            if not self.code:
+                self._push()
+        self.flushing = False
+        if self.last_code:
+            self.close(self.last_code)
+
+    def close_when_sent(self, code: str) -> None:
+        """Close once all that is buffered has gone out."""
+        self.last_code = code
+        if not self.out:
+            self.close(code)
+
+    def close(self, code: str) -> None:
+        """Close it once; the first reason code stays, and a parked reader wakes with it."""
+        if self.code:
+            return
+        self.code = code
+        self.discard()
+        self.sched.forget(self.fd)
+        self.sock.close()
+        Stream.opened -= 1
--- a/hitchtiller/wirehost.py
+++ b/hitchtiller/wirehost.py
@@ -1,92 +1,22 @@
 """Adapter: the simulator's JSON lines to and from the policy's interface, one Router per instance."""
 
 import json
-import struct
 import sys
 from collections.abc import Callable
 from typing import Any, TextIO
 
 from hitchtiller import interface as api
+from hitchtiller.codec.notes import pack, unpack
 from hitchtiller.decide import Router
+from hitchtiller.settings import Fields, read_settings
 
-Fields = dict[str, Any]
-NOTE_KINDS = ("ask", "holder", "kept", "lacks")
-NOTE = struct.Struct(">BQHH")
+__all__ = ["Host", "WireError", "main", "pack", "read_settings", "unpack"]
 
 
 class WireError(Exception):
     """The input is not the wire: end with one clear line."""
 
 
-def _at(values: list[Any] | None, index: int, default: Any) -> Any:
-    return values[index] if values and index < len(values) else default
-
-
-def _class(fields: Fields, index: int, info: Fields) -> api.ClassSettings:
-    return api.ClassSettings(
-        name=fields["name"],
-        aim_ms=fields["aim_ms"],
-        deadline_ms=fields["deadline_ms"],
-        worth=fields.get("worth", 1.0),
-        aim_stretch=fields.get("aim_stretch", 0.0),
-        late_share=fields.get("late_value", 0.0),
-        effect=fields.get("effect", "repeatable"),
-        key_scope=fields.get("key_scope", "all"),
-        repeat_window_ms=fields.get("repeat_window_ms", 0.0),
-        stream=fields.get("stream", False),
-        fresh_ms=_at(info.get("lifetime_by_class_ms"), index, 0.0),
-        grace_ms=_at(info.get("grace_for_ms"), index, 0.0),
-        stale_share=_at(info.get("old_copy_worth"), index, 0.0),
-        write=_at(info.get("uncached"), index, False),
-    )
-
-
-def read_settings(setup: Fields) -> api.Settings:
-    """Turn the `setup` object into settings; unknown keys are passed over."""
-    info, limits, rules = (setup.get(key, {}) for key in ("family_info", "limits", "contract"))
-    kinds, zones = setup.get("skus", []), setup.get("localities", [])
-    parent, origin = info.get("second_tier_kind", -1), info.get("store_kind", -1)
-    classes = [_class(fields, i, info) for i, fields in enumerate(setup["classes"])]
-    return api.Settings(
-        my_number=setup["my_number"],
-        group_size=setup["group_size"],
-        my_zone=setup["my_zone"],
-        zones=tuple(zones),
-        hub_of=tuple(info.get("hub_of", [])),
-        gateways_in_zone=tuple(info.get("instances_by_zone", [])),
-        link_kb_per_s=tuple(info.get("feed_kb_per_s", [])),
-        classes={entry.name: entry for entry in classes},
-        parent_kind=kinds[parent] if 0 <= parent < len(kinds) else None,
-        origin_kind=kinds[origin] if 0 <= origin < len(kinds) else None,
-        flow_kb_per_s=info.get("stream_kb_per_s", 0.0),
-        direct=info.get("direct", False),
-        joins=info.get("merges_fills", False),
-        siblings=info.get("peers_fill", "none"),
-        notes=info.get("note_level", "none"),
-        probes=limits.get("may_probe", False),
-        report_fields=tuple(setup.get("report", {}).get("fields", [])),
-        peers=limits.get("peers", False),
-        cancel=limits.get("cancel", False),
-        second_copies=limits.get("second_copies", False),
-        retry_after=limits.get("retry_after", False),
-        max_attempts=limits.get("try_limit", 1),
-        max_retry_after_ms=limits.get("max_retry_after_ms", 0.0),
-        drain_grace_ms=rules.get("stop_sending_within_ms", 0.0),
-        cold_share=rules.get("start_capacity", 1.0),
-        cold_ms=rules.get("ramp_time_ms", 0.0),
-        fall_multiple=rules.get("overload_factor", 1.0),
-        fall_ms=rules.get("tip_after_ms", 1000.0),
-        parent_cold_share=info.get("upper_cold_from", 1.0),
-        parent_cold_ms=info.get("parent_warms_in_ms", 0.0),
-        parent_fall_multiple=info.get("parent_fall_multiple", 1.0),
-        origin_fall_multiple=info.get("origin_fall_multiple", 0.0),
-        purge_grace_ms=info.get("purge_grace_ms", 0.0),
-        purge_done_ms=info.get("gone_everywhere_ms", 0.0),
-        asks_discovery=setup.get("discovery") == "ask",
-        ask_within_ms=rules.get("ask_within_ms", 0.0),
-    )
-
-
 def _member(entry: Fields) -> api.Member:
     return api.Member(
         entry["cache"],
@@ -104,24 +34,6 @@
     return dict(stats)
 
 
-def pack(note: api.PeerNote) -> bytes:
-    """Write a peer note in few bytes."""
-    head = NOTE.pack(NOTE_KINDS.index(note.kind), note.key, note.part & 0xFFFF, note.number & 0xFFFF)
-    return head + note.server.encode()
-
-
-def unpack(data: bytes) -> api.PeerNote | None:
-    """Read a peer note; None for what is malformed or foreign."""
-    if len(data) < NOTE.size or data[0] >= len(NOTE_KINDS):
-        return None
-    kind, key, part, number = NOTE.unpack(data[: NOTE.size])
-    try:
-        server = data[NOTE.size :].decode()
-    except UnicodeDecodeError:
-        return None
-    return api.PeerNote(NOTE_KINDS[kind], key, part, server, number)
-
-
 def _message(f: Fields) -> api.PeerMessage | None:
     try:
         note = unpack(bytes.fromhex(f.get("body", "")))
