--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -76,7 +76,7 @@
     on_term(sched, front.stop)
     gc.collect()
     gc.freeze()  # what is there now stays: not looked at again
-    logger.info("serving on {}:{}", host, port)
+    logger.info("serving on {}:{}, {} sockets, {} MB", host, port, config.sockets, config.memory_mb)
     sched.run()
     logger.info("stopped")
 
