--- a/hitchtiller/codec/resp.py
+++ b/hitchtiller/codec/resp.py
@@ -75,7 +75,9 @@
         body = match.end()
         end = body + int(size)
         sizes = (int(size_1), int(size_2), int(size_3))
-        if int(size) > MOST_BULK or sizes != (len(item_1), len(item_2), len(item_3)) or self.buffer[end : end + 2] != b"\r\n":
+        if int(size) > MOST_BULK or self.buffer[end : end + 2] != b"\r\n":
+            return None
+        if sizes != (len(item_1), len(item_2), len(item_3)):
             return None
         return end + 2, [item_1, item_2, item_3, bytes(memoryview(self.buffer)[body:end])]
 
