Drop clients that take nothing; news apart from the bus codec; configuration tests

Also: clients without progress for 5 s are closed wherever they wait (only on reading before); a spoiled connection that ends is taken off its pool once; a probe is not turned away when clients hold their third.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -21,6 +21,7 @@
 
 REPORT_MS = 10_000.0
 TIDY_MS = 1_000.0
+EXTRA = 16  # clients beyond their third: a probe must not be turned away when they hold it all
 SPARE = 48  # descriptors kept for the listener, the bus, the log and the like
 
 
@@ -56,19 +57,23 @@
         sched.lag_ms = 0.0
 
 
-def tidy(sched: Scheduler) -> None:
-    """Free the few cycles that exceptions leave; often, as each time looks at what is new since the last."""
+def tidy(sched: Scheduler, front: Front) -> None:
+    """Close clients that take nothing, and free the few cycles that exceptions leave.
+
+    Often: each time only what is new since the last is looked at.
+    """
     gc.freeze()
     gc.disable()  # full collections stalled the loop by 0.2 s under load; nothing of a request is a cycle
     while True:
         sched.sleep(TIDY_MS)
+        front.drop_slow()
         gc.collect(0)
 
 
 def serve(config: Config) -> None:
     """Run one gateway until it is told to stop."""
     sched = Scheduler()
-    clients = config.sockets // 3
+    clients = config.sockets // 3 + EXTRA
     times = (config.connect_ms, config.idle_ms)
     back = Upstreams(sched, times, config.streams, config.sockets - clients - SPARE)
     peers = Peers(sched, config.peer_listen, config.peers) if config.peer_listen else None
@@ -84,7 +89,7 @@
         sched.spawn(peers.run, engine)
     sched.spawn(report, sched, engine, front)
     on_term(sched, front.stop)
-    sched.spawn(tidy, sched)
+    sched.spawn(tidy, sched, front)
     logger.info("serving on {}:{}, {} sockets, {} MB", host, port, config.sockets, config.memory_mb)
     sched.run()
     logger.info("stopped")
--- a/hitchtiller/back/upstreams.py
+++ b/hitchtiller/back/upstreams.py
@@ -5,8 +5,8 @@
 
 from hitchtiller.back.jobs import Job, Meter, Pull
 from hitchtiller.back.link import Link
-from hitchtiller.codec.bus import Listed, Topology
 from hitchtiller.exchange import Attempt
+from hitchtiller.news import Listed, Topology
 from hitchtiller.sched import Scheduler
 
 
@@ -38,7 +38,7 @@
 
     def ended(self, link: Link, unwritten: list[Job]) -> None:
         """Take a connection's end; what was never written goes on another."""
-        if link.stream.code:
+        if link.stream.code and link in self.links:  # a spoiled one may tell twice
             self.links.remove(link)
             self.owner.count -= 1
         for job in unwritten:
--- a/hitchtiller/codec/bus.py
+++ b/hitchtiller/codec/bus.py
@@ -2,10 +2,10 @@
 
 import struct
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
 from typing import Any
 
 from hitchtiller import interface as api
+from hitchtiller.news import Ban, Event, Listed, Topology
 
 MOST = 1_048_576  # bytes of one frame
 HEAD = struct.Struct(">QB")
@@ -20,32 +20,6 @@
     """The bytes or values are no event."""
 
 
-@dataclass(frozen=True, slots=True)
-class Listed:
-    """A line of the list: the member, and where it listens."""
-
-    member: api.Member
-    address: tuple[str, int]
-
-
-@dataclass(frozen=True, slots=True)
-class Topology:
-    """News of the list."""
-
-    hosts: tuple[Listed, ...]
-    whole: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Ban:
-    """A purge of an object, or with no key of a group, at a Unix millisecond."""
-
-    key: int | None
-    group: int
-    at_ms: float
-
-
-Event = Topology | Ban
 Numbered = tuple[int, Event | None]  # None: nothing new
 
 
--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -10,9 +10,9 @@
 from loguru import logger
 
 from hitchtiller import interface as api
-from hitchtiller.codec.bus import Ban, Event, Topology
 from hitchtiller.decide import Router
 from hitchtiller.exchange import FAILED, REFUSED, SERVED, Answer, Ask, Attempt, Clearance, Ending, Exchange
+from hitchtiller.news import Ban, Event, Topology
 
 
 class Timer(Protocol):
--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -7,7 +7,7 @@
 from hitchtiller.exchange import FAILED, REFUSED, Answer, Exchange
 from hitchtiller.front.asks import BadAsk, read_ask, write_answer
 from hitchtiller.log import ended
-from hitchtiller.sched import Closed, Stream, now_ms
+from hitchtiller.sched import Closed, Stream
 
 if TYPE_CHECKING:
     from hitchtiller.front.server import Front
@@ -15,7 +15,6 @@
 MOST_OPEN = 32  # requests on one connection
 MOST_HOLES = 4096  # stream numbers passed over
 PAUSE_AT = 1_000_000  # bytes that a client has not taken, from which nothing more is read of it
-SLOW_MS = 5_000.0  # without progress, from which it is given up
 
 
 class Numbers:
@@ -57,7 +56,7 @@
                     continue  # nothing can be read after what was no frame
                 self._take(reader, data)
                 while self.stream.size > PAUSE_AT and not self.stream.code:
-                    self._await_room()
+                    self.front.sched.sleep(20.0)  # backpressure; Front.drop_slow ends it for good
         except Closed as error:
             self.stream.close(str(error))
         finally:
@@ -68,11 +67,6 @@
             for exchange in exchanges:
                 self.front.engine.leave(exchange)
 
-    def _await_room(self) -> None:
-        if now_ms() - self.stream.progress_ms > SLOW_MS:
-            raise Closed("slow")  # guards the memory against clients that don't read their answers
-        self.front.sched.sleep(20.0)
-
     def _take(self, reader: frames.FrameReader, data: bytes) -> None:
         arrived = self.front.sched.arrival_ms
         try:
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -6,12 +6,13 @@
 from hitchtiller.engine import Engine
 from hitchtiller.front.client import Client
 from hitchtiller.log import ended
-from hitchtiller.sched import READ, Scheduler, Stream
+from hitchtiller.sched import READ, Scheduler, Stream, now_ms
 
 BACKLOG = 512
 ACCEPT_MS = 450.0  # after the word to stop, connections may come for 0.4 s
 REQUESTS_MS = 350.0  # and on open ones requests for 0.2 s more
 GONE_MS = 6_000.0  # by then the longest deadline has passed
+SLOW_MS = 5_000.0  # without progress, from which a client is given up
 MOST_HELD = 32_000_000  # bytes that clients have not taken yet, in all
 
 
@@ -48,6 +49,12 @@
         """Forget a client."""
         self.clients.discard(client)
 
+    def drop_slow(self) -> None:
+        """Close clients that take nothing of what waits for them: a few could fill all the room there is."""
+        for client in list(self.clients):
+            if client.stream.size and now_ms() - client.stream.progress_ms > SLOW_MS:
+                client.stream.close("slow")
+
     def _accept(self) -> None:
         while not self.shut:
             self.sched.wait(self.listener.fileno(), READ)
--- /dev/null
+++ b/hitchtiller/news.py
@@ -0,0 +1,33 @@
+"""What a gateway hears of servers and purges, however it is told."""
+
+from dataclasses import dataclass
+
+from hitchtiller import interface as api
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """A line of the list: the member, and where it listens."""
+
+    member: api.Member
+    address: tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Topology:
+    """News of the list."""
+
+    hosts: tuple[Listed, ...]
+    whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Ban:
+    """A purge of an object, or with no key of a group, at a Unix millisecond."""
+
+    key: int | None
+    group: int
+    at_ms: float
+
+
+Event = Topology | Ban
--- a/hitchtiller/sched.py
+++ b/hitchtiller/sched.py
@@ -251,6 +251,8 @@
         """Send at once what the socket takes and buffer the rest; the caller bounds `size`."""
         if self.code:
             return
+        if not self.out:
+            self.progress_ms = now_ms()
         for part in parts:
             if len(part):
                 self.out.append(memoryview(part))
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -3,7 +3,8 @@
 import unittest
 
 from hitchtiller.codec import frames, resp
-from hitchtiller.codec.bus import BadBus, Ban, BusReader, Topology
+from hitchtiller.codec.bus import BadBus, BusReader
+from hitchtiller.news import Ban, Topology
 
 
 class Frames(unittest.TestCase):
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,44 @@
+"""The configuration: what is missing or wrong is told in one line."""
+
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from hitchtiller.config import ConfigError, read_config
+
+ROOT = Path(__file__).parent.parent
+EXAMPLE = ROOT / "examples" / "config.json"
+
+
+class Configuration(unittest.TestCase):
+    def read(self, **changes: Any) -> Any:
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            file.write(json.dumps(json.loads(EXAMPLE.read_text()) | changes))
+            file.flush()
+            return read_config({"BALANCER_CONFIG": file.name, "BALANCER_NAME": "n7"})
+
+    def test_the_example_is_read(self) -> None:
+        config = self.read()
+        self.assertEqual((config.name, config.listen, config.streams), ("n7", ("127.0.0.1", 7100), 32))
+        self.assertEqual([number for number, _ in config.known], [1, 1])
+
+    def test_what_is_wrong_is_named(self) -> None:
+        cases: list[tuple[dict[str, Any], str]] = [
+            ({"seed": "xyz"}, "xyz"),
+            ({"listen": "nowhere"}, "nowhere"),
+            ({"settings": {}}, "classes"),
+            ({"known": {"batch": [{"offset": 1, "topology": {"hosts": [{}]}}]}}, "host"),
+        ]
+        for changes, word in cases:
+            with self.assertRaisesRegex(ConfigError, word):
+                self.read(**changes)
+
+    def test_the_program_ends_with_2_and_one_line(self) -> None:
+        command = [sys.executable, "-m", "hitchtiller"]
+        for env in ({}, {"BALANCER_CONFIG": "/nowhere.json"}):
+            ended = subprocess.run(command, cwd=ROOT, env=env, capture_output=True, text=True, check=False)
+            self.assertEqual((ended.returncode, ended.stderr.count("\n")), (2, 1), ended.stderr)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -8,10 +8,10 @@
 
 from hitchtiller import interface as api
 from hitchtiller.back.jobs import Pull
-from hitchtiller.codec.bus import Listed, Topology
 from hitchtiller.decide import Router
 from hitchtiller.engine import Engine
 from hitchtiller.exchange import FAILED, REFUSED, SERVED, Answer, Ask, Attempt, Ending
+from hitchtiller.news import Listed, Topology
 
 
 class Later:
