Read the file again on SIGHUP, move the bus live; leave in 3.3 s on SIGTERM

Checked: exit code 128+1 is SIGHUP's default action, __main__.py on_term installed a handler for SIGTERM only, and took any byte of the wakeup fd for it. Ruled out: the bus link and the pools, which had no line in the log at that moment. At fault: __main__.py:28-43 (on_term); front/server.py:16 GONE_MS 6 s outlasts SIGKILL, which may come from 3.7 s on; bus.py:44 took any byte for a sign of life, so a bus cut in mid-event stayed for 2.5 s more. Now: signals.py reads the numbers from the wakeup fd; reload.py reads the file again, a bad one is told in one line and changes nothing, what can't change live is named; the bus is left at once and asked on from the last number; on SIGTERM all is answered by 3.3 s.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -3,9 +3,7 @@
 import gc
 import os
 import signal
-import socket
 import sys
-from collections.abc import Callable
 
 from loguru import logger
 
@@ -17,7 +15,9 @@
 from hitchtiller.engine import Engine
 from hitchtiller.front.server import Front
 from hitchtiller.peers import Peers
-from hitchtiller.sched import READ, Clock, Scheduler, Stream
+from hitchtiller.reload import Reload
+from hitchtiller.sched import Clock, Scheduler, Stream
+from hitchtiller.signals import Signals
 
 REPORT_MS = 10_000.0
 TIDY_MS = 1_000.0
@@ -25,23 +25,6 @@
 SPARE = 48  # descriptors kept for the listener, the bus, the log and the like
 
 
-def on_term(sched: Scheduler, stop: Callable[[], None]) -> None:
-    """Call `stop` in a greenlet of its own once SIGTERM comes."""
-    mine, other = socket.socketpair()
-    mine.setblocking(False)
-    other.setblocking(False)
-    signal.signal(signal.SIGTERM, lambda *_: None)
-    signal.set_wakeup_fd(other.fileno())
-
-    def wait() -> None:
-        sched.wait(mine.fileno(), READ)
-        logger.info("told to stop")
-        stop()
-        other.close()
-
-    sched.spawn(wait)
-
-
 def report(sched: Scheduler, engine: Engine, front: Front) -> None:
     """Write a regular line: counts, the loop's lag, open sockets."""
     while True:
@@ -88,7 +71,8 @@
     if peers:
         sched.spawn(peers.run, engine)
     sched.spawn(report, sched, engine, front)
-    on_term(sched, front.stop)
+    reload = Reload(config, os.environ, bus.move)
+    Signals(sched, {signal.SIGTERM: front.stop, signal.SIGINT: front.stop, signal.SIGHUP: reload})
     sched.spawn(tidy, sched, front)
     logger.info("serving on {}:{}, {} sockets, {} MB", host, port, config.sockets, config.memory_mb)
     sched.run()
--- a/hitchtiller/bus.py
+++ b/hitchtiller/bus.py
@@ -7,10 +7,10 @@
 from hitchtiller.codec.bus import BadBus, BusReader, Numbered
 from hitchtiller.engine import Engine
 from hitchtiller.log import ended
-from hitchtiller.sched import Closed, Scheduler, Stream
+from hitchtiller.sched import Closed, Scheduler, Stream, now_ms
 
 CONNECT_MS = 400.0
-SILENT_MS = 2_500.0  # a frame comes each second; without one the link is dead
+SILENT_MS = 1_800.0  # a frame comes each second; without a whole one the link is dead
 AGAIN_MS = 100.0
 
 
@@ -23,9 +23,10 @@
         """Follow the bus at an address; `names` are the zones and the kinds of the settings."""
         self.sched, self.engine, self.address, self.names = sched, engine, address, names
         self.last = 0
+        self.stream: Stream | None = None
 
     def apply(self, event: Numbered) -> None:
-        """Apply an event once, whichever way it came."""
+        """Apply an event once, whichever way it came and however often it is told."""
         number, news = event
         if news is not None and number > self.last:
             try:
@@ -34,18 +35,33 @@
                 logger.exception("event {} failed", number)
         self.last = max(self.last, number)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Go on at another address at once: the old one tells nothing more."""
+        if address != self.address:
+            self.address = address
+            if self.stream:
+                self.stream.close("moved")
+
     def run(self) -> None:
         """Subscribe for ever."""
         while True:
-            stream = Stream(self.sched, socket.socket())
+            address, last = self.address, self.last
+            self.stream = stream = Stream(self.sched, socket.socket())
             try:
-                stream.connect(self.address, CONNECT_MS)
+                stream.connect(address, CONNECT_MS)
                 stream.write(self.last.to_bytes(8, "big"))
-                reader = BusReader(*self.names)
-                while True:
-                    for event in reader.feed(stream.read(SILENT_MS)):
-                        self.apply(event)
+                self._follow(stream)
             except (Closed, BadBus) as error:
                 stream.close(str(error) if isinstance(error, Closed) else "junk")
-            ended("bus", f"{self.address[0]}:{self.address[1]}", stream.code, last=self.last)
-            self.sched.sleep(AGAIN_MS)
+            ended("bus", f"{address[0]}:{address[1]}", stream.code, last=self.last)
+            if stream.code != "moved" and self.last == last:  # else ask on at once: it was a good link
+                self.sched.sleep(AGAIN_MS)
+
+    def _follow(self, stream: Stream) -> None:
+        reader, whole_ms = BusReader(*self.names), now_ms()
+        while True:
+            # guards against a bus that stops in the middle of an event: single bytes are no sign of life
+            data = stream.read(max(1.0, whole_ms + SILENT_MS - now_ms()))
+            for event in reader.feed(data):
+                whole_ms = now_ms()
+                self.apply(event)
--- a/hitchtiller/codec/bus.py
+++ b/hitchtiller/codec/bus.py
@@ -59,8 +59,7 @@
                 return
             frame = bytes(self.buffer[4 : 4 + length])
             del self.buffer[: 4 + length]
-            if frame:  # the frame of each second may be wholly empty
-                yield self.event(frame)
+            yield self.event(frame) if frame else (0, None)  # that of each second may be wholly empty
 
     def event(self, frame: bytes) -> Numbered:
         """Read one frame."""
--- a/hitchtiller/config.py
+++ b/hitchtiller/config.py
@@ -55,7 +55,7 @@
         return _config(data, environ)
     except KeyError as error:
         raise ConfigError(f"{path}: {error.args[0]!r} is missing") from None
-    except (ValueError, TypeError, AttributeError, IndexError, BadBus) as error:
+    except (ValueError, TypeError, AttributeError, IndexError, OverflowError, BadBus) as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -107,6 +107,10 @@
             return
         # guards against a request that stays without an end: one that waits for a peer, or a fault
         logger.warning("request {} was overdue", exchange.ask.id)
+        self.fail(exchange)
+
+    def fail(self, exchange: Exchange) -> None:
+        """Answer in place of the decisions, which hear of it as of a client that left."""
         self.finish(exchange, Answer(FAILED))
         self.abandon(exchange)
 
@@ -159,8 +163,7 @@
             logger.exception("deciding on {} failed", type(event).__name__)
             exchange = self.open.get(getattr(event, "id", 0))
             if exchange and not isinstance(event, api.Left):
-                self.finish(exchange, Answer(FAILED))
-                self.abandon(exchange)
+                self.fail(exchange)
 
     def act(self, action: api.Action) -> None:
         """Carry out one action."""
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -2,6 +2,8 @@
 
 import socket
 
+from loguru import logger
+
 from hitchtiller import interface as api
 from hitchtiller.engine import Engine
 from hitchtiller.front.client import Client
@@ -11,7 +13,8 @@
 BACKLOG = 512
 ACCEPT_MS = 450.0  # after the word to stop, connections may come for 0.4 s
 REQUESTS_MS = 350.0  # and on open ones requests for 0.2 s more
-GONE_MS = 6_000.0  # by then the longest deadline has passed
+LEAVE_MS = 3_300.0  # after that word all is answered: the program may be killed from 3.7 s on
+LAST_MS = 250.0  # for the last answers to go out
 SLOW_MS = 5_000.0  # without progress, from which a client is given up
 MOST_HELD = 32_000_000  # bytes that clients have not taken yet, in all
 
@@ -82,18 +85,23 @@
         """Leave: accept for the stated while, say so to all, answer what is in hand, then end the loop."""
         if self.stopping:
             return
-        self.stopping = True
+        self.stopping, leave_ms = True, now_ms() + LEAVE_MS
+        logger.info("told to stop")
         self.sched.sleep(ACCEPT_MS)
         self._accept_all()  # what the machine accepted counts as ours
         self.sched.forget(self.listener.fileno())
         self.listener.close()
         for client in list(self.clients):
             client.going()
-        waited = 0.0
-        while waited < REQUESTS_MS or (waited < GONE_MS and self._busy()):
+        self.sched.sleep(REQUESTS_MS)
+        while self._busy() and now_ms() < leave_ms:
+            self.sched.sleep(10.0)
+        self.shut = True  # whatever still comes is refused at once
+        for exchange in [exchange for client in self.clients for exchange in client.open.values()]:
+            self.engine.fail(exchange)  # guards against a kill while a request has no answer
+        self.sched.sleep(10.0)
+        while any(client.stream.size for client in self.clients) and now_ms() < leave_ms + LAST_MS:
             self.sched.sleep(10.0)
-            waited += 10.0
-        self.shut = True
         for client in list(self.clients):
             client.stream.close("stop")
         self.sched.sleep(10.0)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -89,7 +89,7 @@
             for place, listener in enumerate(self.caches.values())
         ]
         known = {"offset": 1, "batch": [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}]}
-        config = {
+        self.config: dict[str, Any] = {
             "name": "n0",
             "listen": "127.0.0.1:0",
             "seed": "1",
@@ -99,14 +99,20 @@
             "settings": SETTINGS,
         }
         self.file = tempfile.NamedTemporaryFile("w", suffix=".json")  # noqa: SIM115  closed in stop
-        json.dump(config, self.file)
-        self.file.flush()
+        self.configure(json.dumps(self.config))
         env = {"BALANCER_CONFIG": self.file.name, "PATH": os.environ["PATH"]}
         command = [sys.executable, "-m", "hitchtiller"]
         self.process = subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
         self.lines: list[str] = []
         self.port = int(self.expect_line("serving on").split("serving on 127.0.0.1:")[1].split(",")[0])
 
+    def configure(self, text: str) -> None:
+        """Replace the configuration file's text."""
+        Path(self.file.name).write_text(text)
+
+    def hang_up(self) -> None:
+        self.process.send_signal(signal.SIGHUP)
+
     def expect_line(self, text: str) -> str:
         """Read the log until a line holds the text."""
         assert self.process.stderr
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,5 +1,8 @@
 """Scenarios: one gateway process, spoken to over sockets."""
 
+import contextlib
+import json
+import socket
 import unittest
 
 from scenario import Gateway, Party, answer, wait
@@ -160,3 +163,53 @@
         cache = self.gateway.server()
         cache.send(answer(cache.expect_pull()[0], b"DONE", body=b"x"))
         late.expect(lambda got: got is not None)
+
+    def test_sigterm_answers_what_stays_open_before_the_program_may_be_killed(self) -> None:
+        """It waited 6 s for the last answer, and SIGKILL may come after 3.7 s."""
+        self.opened(d="5000")
+        self.gateway.terminate()
+        self.client.expect(lambda got: got.kind == frames.GOING)
+        self.client.sock.settimeout(3.6)
+        self.client.expect_answer(1, frames.FAILED)
+        self.assertEqual(self.gateway.process.wait(1.0), 0)
+
+
+class NewConfiguration(Scenario):
+    def test_sighup_moves_the_bus_at_once_and_touches_no_request(self) -> None:
+        """SIGHUP ended the program."""
+        old = self.gateway.subscription()
+        self.assertEqual(old.sock.recv(8), (1).to_bytes(8, "big"))
+        old.send((9).to_bytes(4, "big") + (7).to_bytes(8, "big") + b"\0" + b"\0\0")  # cut in the next event
+        cache, name = self.opened()
+        with socket.create_server(("127.0.0.1", 0)) as bus:
+            address = "127.0.0.1:%d" % bus.getsockname()[1]
+            self.gateway.configure(json.dumps(self.gateway.config | {"bus": address, "seed": "2"}))
+            self.gateway.hang_up()
+            self.gateway.expect_line("not changed before the next start: seed")
+            bus.settimeout(1.0)
+            new = bus.accept()[0]
+            self.addCleanup(new.close)
+            self.assertEqual(new.recv(8), (7).to_bytes(8, "big"))
+        self.assertEqual(old.sock.recv(1), b"")
+        cache.send(answer(name, b"DONE", body=b"x"))
+        self.client.expect_answer(1, frames.SERVED, b"x")
+
+    def test_a_bad_file_is_told_and_changes_nothing(self) -> None:
+        self.gateway.configure("{")
+        self.gateway.hang_up()
+        self.gateway.expect_line("configuration not taken")
+        cache, name = self.opened()
+        cache.send(answer(name, b"DONE", body=b"x"))
+        self.client.expect_answer(1, frames.SERVED, b"x")
+
+    def test_a_bus_that_stops_in_the_middle_of_an_event_is_left(self) -> None:
+        """Single bytes counted as a sign of life."""
+        bus = self.gateway.subscription()
+        bus.sock.recv(8)
+        bus.send((99).to_bytes(4, "big"))
+        self.gateway.bus.settimeout(0.25)
+        for _ in range(12):
+            bus.send(b"\0")
+            with contextlib.suppress(TimeoutError):
+                return self.gateway.bus.accept()[0].close()
+        self.fail("the bus was not asked again")
