Close silent and half-sent clients in 2.2 s, make room when full, fail bad frames at once

Checked: the count at most at sockets/3+16 = 144 in every regular line; loop lag 27 ms, CPU 0.26 of a core, so neither load nor the loop was the cause. A probe: two requests under one number got two answers. At fault: client.py read without a time-out; server.py _accept_all closed the newcomer; client.py _request answered code 5 on a stream still open; asks.py float() took 1_0, 1e3 and other scripts' digits; sched.py close_when_sent closed with bytes unread, which resets; __main__.py tidy never looked at cycles older than one collection; MOST_HELD was 32 MB whatever the memory limit. Now: each is closed in 2.2 s without a whole frame, the idle longest make room, never-asked first; what can't be read ends its connection and fails what is open on it at once; an open id is not sent on twice; a close shuts down writing and discards for 1.5 s; bounds follow memory_mb; 16 frames a turn and client.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+from itertools import count
 
 from loguru import logger
 
@@ -21,6 +22,7 @@
 
 REPORT_MS = 10_000.0
 TIDY_MS = 1_000.0
+OWN_MB = 26.0  # what the program holds in service without its buffers
 EXTRA = 16  # clients beyond their third: a probe must not be turned away when they hold it all
 SPARE = 48  # descriptors kept for the listener, the bus, the log and the like
 
@@ -40,17 +42,19 @@
         sched.lag_ms = 0.0
 
 
-def tidy(sched: Scheduler, front: Front) -> None:
-    """Close clients that take nothing, and free the few cycles that exceptions leave.
+def room(memory_mb: float) -> int:
+    """Give the bytes that buffers may hold in all: what the program itself leaves, and half for copies."""
+    return int(max(2.0, (memory_mb - OWN_MB) / 2.0) * 1e6)
 
-    Often: each time only what is new since the last is looked at.
-    """
+
+def tidy(sched: Scheduler) -> None:
+    """Free the few cycles that exceptions leave: what is new each second, all of it once a minute."""
     gc.freeze()
     gc.disable()  # full collections stalled the loop by 0.2 s under load; nothing of a request is a cycle
-    while True:
+    for turn in count(1):
         sched.sleep(TIDY_MS)
-        front.drop_slow()
-        gc.collect(0)
+        # guards against growth: what outlived one look at the young was never looked at again
+        gc.collect(2 if turn % 60 == 0 else 1 if turn % 10 == 0 else 0)
 
 
 def serve(config: Config) -> None:
@@ -65,7 +69,7 @@
     bus = BusLink(sched, engine, config.bus, (config.zones, config.kinds))
     for event in config.known:
         bus.apply(event)
-    front = Front(sched, engine, config.settings, clients)
+    front = Front(sched, engine, config.settings, clients, room(config.memory_mb))
     host, port = front.listen(config.listen)
     sched.spawn(bus.run)
     if peers:
@@ -73,7 +77,7 @@
     sched.spawn(report, sched, engine, front)
     reload = Reload(config, os.environ, bus.move)
     Signals(sched, {signal.SIGTERM: front.stop, signal.SIGINT: front.stop, signal.SIGHUP: reload})
-    sched.spawn(tidy, sched, front)
+    sched.spawn(tidy, sched)
     logger.info("serving on {}:{}, {} sockets, {} MB", host, port, config.sockets, config.memory_mb)
     sched.run()
     logger.info("stopped")
--- a/hitchtiller/codec/frames.py
+++ b/hitchtiller/codec/frames.py
@@ -73,7 +73,10 @@
             end = at + 1 + payload[at]
             value = end + 2
             after = value + (payload[end] << 8 | payload[end + 1])
-            fields[payload[at + 1 : end].decode()] = payload[value:after].decode()
+            name = payload[at + 1 : end].decode()
+            if name in fields:
+                raise BadFrame(f"field {name[:20]!r} twice")
+            fields[name] = payload[value:after].decode()
             at = after
         if at > len(payload):
             raise BadFrame("fields cut short")
--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -72,6 +72,7 @@
         """Join the parts."""
         self.router, self.clock, self.back, self.tell = router, clock, back, tell
         self.open: dict[int, Exchange] = {}
+        self.ids: set[str] = set()  # of what is open, as clients name it
         self.numbers = count(1)
         self.events: deque[api.Event] = deque()
         self.busy = False
@@ -79,10 +80,15 @@
 
     # Client side
 
+    def has(self, id: str) -> bool:
+        """Tell whether a request of this id is open, whoever asked."""
+        return id.lower() in self.ids
+
     def take(self, ask: Ask, deliver: Callable[[Answer], None]) -> Exchange:
         """Take a request; `deliver` gets its final answer, unless it leaves."""
         exchange = Exchange(next(self.numbers), ask, deliver)
         self.open[exchange.number] = exchange
+        self.ids.add(ask.id.lower())
         self.counts.taken += 1
         delay = ask.deadline_ms - self.clock.now_ms()
         exchange.guard = self.clock.later(delay, partial(self.expire, exchange)).cancel
@@ -116,14 +122,18 @@
 
     def abandon(self, exchange: Exchange) -> None:
         """Tell the decisions that a request is over and cancel what is out for it."""
-        self.open.pop(exchange.number, None)
+        self._drop(exchange)
         self.give(api.Left(exchange.number))
         for attempt in list(exchange.attempts):
             self.cancel(attempt, "ecanceled")
 
+    def _drop(self, exchange: Exchange) -> None:
+        if self.open.pop(exchange.number, None):
+            self.ids.discard(exchange.ask.id.lower())
+
     def finish(self, exchange: Exchange, answer: Answer) -> None:
         """Give the final answer, once."""
-        self.open.pop(exchange.number, None)
+        self._drop(exchange)
         if exchange.finish(answer):
             setattr(self.counts, answer.kind, getattr(self.counts, answer.kind) + 1)
         exchange.settle()
--- a/hitchtiller/front/asks.py
+++ b/hitchtiller/front/asks.py
@@ -14,6 +14,8 @@
 HEX16 = re.compile(r"[0-9a-fA-F]{16}\Z")
 TOKEN = re.compile(r"[0-9A-Za-z_.:+/-]{1,128}\Z")  # nothing that FIELDS would read as a sign
 WHOLE = re.compile(r"[0-9]{1,9}\Z")
+NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?\Z")  # float() takes 1_0, 1e3, nan and other scripts' digits
+LARGEST_KB = 1e6
 CODES = {SERVED: frames.SERVED, REFUSED: frames.REFUSED}
 
 
@@ -30,14 +32,11 @@
     return int(text)
 
 
-def _number(fields: Mapping[str, str], name: str, default: str = "") -> float:
-    try:
-        value = float(fields.get(name, default))
-    except ValueError:
-        value = math.nan
-    if not 0.0 <= value <= 1e9:
-        raise BadAsk(f"{name}={fields.get(name, '')[:20]!r}")
-    return value
+def _number(fields: Mapping[str, str], name: str, most: float, default: str = "") -> float:
+    text = fields.get(name, default)
+    if not NUMBER.match(text) or float(text) > most:
+        raise BadAsk(f"{name}={text[:20]!r}")
+    return float(text)
 
 
 def _text(fields: Mapping[str, str], name: str, form: re.Pattern[str], needed: bool = True) -> str:
@@ -48,16 +47,19 @@
 
 
 def read_ask(payload: bytes, settings: api.Settings, arrived_ms: float) -> Ask:
-    """Read a request; BadAsk for what can't be used, frames.BadFrame for what is no list of fields."""
-    fields, end = frames.read_fields(payload)
+    """Read a request; BadAsk for what can't be used."""
+    try:
+        fields, end = frames.read_fields(payload)
+    except frames.BadFrame as error:
+        raise BadAsk(str(error)) from None
     cls = settings.classes.get(fields.get("c", ""))
     if cls is None:
         raise BadAsk(f"class {fields.get('c', '')[:20]!r}")
     if len(payload) - end > MOST_BODY:
         raise BadAsk("body too long")
-    wait = _number(fields, "d")
-    if not 0.0 < wait <= LONGEST_MS:
-        raise BadAsk(f"d={wait}")
+    wait = min(_number(fields, "d", LONGEST_MS), cls.deadline_ms or LONGEST_MS)  # nobody waits longer
+    if wait <= 0.0:
+        raise BadAsk("no time")
     name = _text(fields, "o", HEX16)
     return Ask(
         id=_text(fields, "i", HEX16),
@@ -67,7 +69,7 @@
         deadline_ms=arrived_ms + wait - min(MARGIN_MS, wait / 4.0),
         part=_whole(fields, "piece", 0, 0xFFFF),
         group=_whole(fields, "lot", -1, 255),
-        size_kb=_number(fields, "m", "0"),
+        size_kb=_number(fields, "m", LARGEST_KB, "0"),
         body=payload[end:],
         dedupe=_text(fields, "k", TOKEN, needed=cls.effect == "by_key"),
         have=_text(fields, "ver", TOKEN, needed=False),
--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -1,5 +1,6 @@
 """One client's connection: frames in, requests to the engine, answers out."""
 
+import math
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -7,31 +8,36 @@
 from hitchtiller.exchange import FAILED, REFUSED, Answer, Exchange
 from hitchtiller.front.asks import BadAsk, read_ask, write_answer
 from hitchtiller.log import ended
-from hitchtiller.sched import Closed, Stream
+from hitchtiller.sched import Closed, Stream, now_ms
 
 if TYPE_CHECKING:
     from hitchtiller.front.server import Front
 
 MOST_OPEN = 32  # requests on one connection
-MOST_HOLES = 4096  # stream numbers passed over
+MOST_HOLES = 64  # stream numbers passed over that may still come
 PAUSE_AT = 1_000_000  # bytes that a client has not taken, from which nothing more is read of it
+AT_ONCE = 16  # frames of one connection in a turn: hundreds at once must not hold up the others
+OWED_MS = 2_200.0  # for a first whole frame, or the rest of one; a large body comes in less
+LINGER_MS = 1_500.0  # what is unread at a close is read and dropped for so long
 
 
 class Numbers:
-    """The stream numbers used so far, in little space where they rise one by one."""
+    """The stream numbers used so far, in bounded space."""
 
     def __init__(self) -> None:
         """Start with none."""
-        self.below, self.above = 1, set[int]()
+        self.top, self.holes = 0, set[int]()
 
     def use(self, number: int) -> bool:
         """Use a number; False if it was used before, or never may be."""
-        if number < self.below or number in self.above or len(self.above) >= MOST_HOLES:
-            return False
-        self.above.add(number)
-        while self.below in self.above:
-            self.above.discard(self.below)
-            self.below += 1
+        if number <= self.top:
+            known = number in self.holes
+            self.holes.discard(number)
+            return known
+        self.holes.update(range(max(self.top + 1, number - MOST_HOLES), number))
+        while len(self.holes) > MOST_HOLES:
+            self.holes.remove(min(self.holes))
+        self.top = number
         return True
 
 
@@ -45,6 +51,10 @@
         self.numbers = Numbers()
         self.closing = ""  # a reason to close once all in hand is answered
         self.taken = 0
+        self.asked = False  # a whole frame has come
+        self.seen_ms = now_ms()  # when one came last
+        self.owed_ms: float | None = self.seen_ms  # since when the client owes the rest of a frame
+        self.until_ms = math.inf  # the end of a close that lingers
 
     def run(self) -> None:
         """Serve until the connection ends."""
@@ -52,13 +62,17 @@
         try:
             while True:
                 data = self.stream.read()
+                if not self.closing:  # nothing can be read after what was no frame
+                    self._take(reader, data)
                 if self.closing:
-                    continue  # nothing can be read after what was no frame
-                self._take(reader, data)
+                    self.stream.keep(0)
+                    self.front.sched.sleep(2.0)  # guards the loop against senders of 60 MB at full speed
+                elif not self.stream.drained:
+                    self.front.sched.pause()
                 while self.stream.size > PAUSE_AT and not self.stream.code:
-                    self.front.sched.sleep(20.0)  # backpressure; Front.drop_slow ends it for good
+                    self.front.sched.sleep(20.0)  # backpressure; Front.sweep ends it for good
         except Closed as error:
-            self.stream.close(str(error))
+            self.stream.close(self.closing or str(error))
         finally:
             self.stream.close("fault")
             self.front.gone(self)
@@ -68,13 +82,40 @@
                 self.front.engine.leave(exchange)
 
     def _take(self, reader: frames.FrameReader, data: bytes) -> None:
-        arrived = self.front.sched.arrival_ms
+        arrived, begun = self.front.sched.arrival_ms, now_ms()
         try:
-            for frame in reader.feed(data):
+            for count, frame in enumerate(reader.feed(data), 1):
+                self.asked, self.seen_ms, self.owed_ms = True, begun, None
                 self._frame(frame, arrived)
+                if count % AT_ONCE == 0:
+                    self.front.sched.pause()
+                if self.stream.code:
+                    raise Closed(self.stream.code)
         except frames.BadFrame:
-            self._say(0, Answer(FAILED))
-            self.close_when_done("bad-frame")
+            reader.buffer.clear()
+            self.refuse_all("bad-frame")
+        self.stream.keep(len(reader.buffer))
+        if reader.buffer and self.owed_ms is None:
+            self.owed_ms = begun
+
+    def refuse_all(self, code: str) -> None:
+        """End a connection that can't be read on: tell so, and end all that is open on it at once."""
+        self._say(0, Answer(FAILED))
+        for exchange in list(self.open.values()):
+            self.front.engine.fail(exchange)
+        self.close_when_done(code)
+
+    def overdue(self, now: float) -> str:
+        """Tell why a client should wait no longer, if so."""
+        if self.closing:
+            return self.closing if now > self.until_ms else ""
+        if self.owed_ms is None or now - self.owed_ms <= OWED_MS:
+            return ""
+        return "half" if self.asked else "unasked"
+
+    def idle(self) -> bool:
+        """Tell whether nothing is owed on it, and nothing has come that was not read."""
+        return not (self.open or self.stream.size or self.stream.code) and not self.stream.waiting()
 
     def _frame(self, frame: frames.Frame, arrived: float) -> None:
         if frame.kind == frames.REQUEST:
@@ -91,10 +132,14 @@
 
     def _request(self, frame: frames.Frame, arrived: float) -> None:
         stream = frame.stream
+        if stream in self.open:  # guards against two answers under one number
+            raise frames.BadFrame(f"stream {stream} is open")
         try:
             ask = read_ask(frame.payload, self.front.settings, arrived)
             if stream == 0 or not self.numbers.use(stream):
                 raise BadAsk(f"stream {stream}")
+            if self.front.engine.has(ask.id):  # guards against one id twice at a cache
+                raise BadAsk(f"id {ask.id} is open")
         except BadAsk:
             self._say(stream, Answer(FAILED))  # never sent on
             return
@@ -125,4 +170,5 @@
 
     def _close_if_done(self) -> None:
         if self.closing and not self.open:
-            self.stream.close_when_sent(self.closing)
+            self.until_ms = min(self.until_ms, now_ms() + LINGER_MS)
+            self.stream.finish()  # guards against a reset for unread bytes, which would lose the reply
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -16,15 +16,18 @@
 LEAVE_MS = 3_300.0  # after that word all is answered: the program may be killed from 3.7 s on
 LAST_MS = 250.0  # for the last answers to go out
 SLOW_MS = 5_000.0  # without progress, from which a client is given up
-MOST_HELD = 32_000_000  # bytes that clients have not taken yet, in all
+SWEEP_MS = 200.0
 
 
 class Front:
     """The listener and its clients."""
 
-    def __init__(self, sched: Scheduler, engine: Engine, settings: api.Settings, most: int) -> None:
-        """Serve at most `most` clients at once."""
+    def __init__(
+        self, sched: Scheduler, engine: Engine, settings: api.Settings, most: int, room: int
+    ) -> None:
+        """Serve at most `most` clients at once; buffers may hold `room` bytes in all."""
         self.sched, self.engine, self.settings, self.most = sched, engine, settings, most
+        self.room = room
         self.clients: set[Client] = set()
         self.stopping = False
         self.shut = False  # no more requests are taken
@@ -37,6 +40,7 @@
         self.listener.bind(address)
         self.listener.listen(BACKLOG)
         self.sched.spawn(self._accept)
+        self.sched.spawn(self._sweep)
         host, port = self.listener.getsockname()
         return str(host), int(port)
 
@@ -46,25 +50,44 @@
 
     def takes(self) -> bool:
         """Tell whether one more request can be held."""
-        return not self.shut and Stream.held < MOST_HELD
+        return not self.shut and Stream.held < self.room
 
     def gone(self, client: Client) -> None:
         """Forget a client."""
         self.clients.discard(client)
 
-    def drop_slow(self) -> None:
-        """Close clients that take nothing of what waits for them: a few could fill all the room there is."""
+    def _sweep(self) -> None:
+        while True:
+            self.sched.sleep(SWEEP_MS)
+            self.sweep(now_ms())
+
+    def sweep(self, now: float) -> None:
+        """Close clients that take nothing of what waits for them, or say nothing: they hold all there is."""
         for client in list(self.clients):
-            if client.stream.size and now_ms() - client.stream.progress_ms > SLOW_MS:
+            if client.stream.size and now - client.stream.progress_ms > SLOW_MS:
                 client.stream.close("slow")
+            elif code := client.overdue(now):
+                if client.open:
+                    client.close_when_done(code)
+                else:
+                    client.stream.close(code)
+
+    def make_room(self) -> bool:
+        """Close the client idle longest, those that never asked first; False if none is idle."""
+        order = sorted(self.clients, key=lambda client: (client.asked, client.seen_ms))
+        idle = next((client for client in order if client.closing or client.idle()), None)
+        if idle:
+            idle.stream.close("full")
+            self.clients.discard(idle)
+        return idle is not None
 
     def _accept(self) -> None:
-        while not self.shut:
+        while not self.shut and self.listener.fileno() >= 0:
             self.sched.wait(self.listener.fileno(), READ)
             self._accept_all()
 
     def _accept_all(self) -> None:
-        while not self.shut:
+        while not self.shut and self.listener.fileno() >= 0:
             try:
                 sock, address = self.listener.accept()
             except BlockingIOError:
@@ -73,7 +96,8 @@
                 self.sched.sleep(10.0)  # out of descriptors, or the client left: neither may end the loop
                 return
             peer = f"{address[0]}:{address[1]}"
-            if len(self.clients) >= self.most:
+            # guards against silent connections that hold the whole third: usual ones were turned away
+            if len(self.clients) >= self.most and not self.make_room():
                 sock.close()
                 ended("client", peer, "full")
                 continue
--- a/hitchtiller/sched.py
+++ b/hitchtiller/sched.py
@@ -1,5 +1,6 @@
 """A scheduler of greenlets over select.poll: timers in a heap, non-blocking sockets, bounded buffers."""
 
+import contextlib
 import errno
 import heapq
 import select
@@ -82,6 +83,11 @@
         """Stop the current greenlet until it is woken; gives what it was woken with."""
         return self.hub.switch()
 
+    def pause(self) -> None:
+        """Let the others have a turn."""
+        self.wake(getcurrent())
+        self.park()
+
     def sleep(self, delay_ms: float) -> None:
         """Park for a while."""
         me = getcurrent()
@@ -204,7 +210,7 @@
     """A non-blocking TCP socket: reads park, writes are buffered up to a bound."""
 
     opened = 0  # sockets of this process
-    held = 0  # bytes buffered in all of them
+    held = 0  # bytes buffered in all of them, both ways
 
     def __init__(self, sched: Scheduler, sock: socket.socket) -> None:
         """Take a socket over."""
@@ -217,7 +223,8 @@
         self.flushing = False
         self.drained = True  # the last read took all there was
         self.code = ""  # why it was closed
-        self.last_code = ""  # why it closes once all is sent
+        self.kept = 0  # bytes that its reader holds
+        self.finished = False  # nothing more will be written
         Stream.opened += 1
 
     def connect(self, address: tuple[str, int], timeout_ms: float) -> None:
@@ -279,6 +286,20 @@
         self._flush()
         return not self.code
 
+    def keep(self, size: int) -> None:
+        """Count the bytes that its reader holds of what can't be read whole yet."""
+        if not self.code:
+            Stream.held += size - self.kept
+            self.kept = size
+
+    def waiting(self) -> bool:
+        """Tell whether something has come that was not read, the end included."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except OSError as error:
+            return not isinstance(error, BlockingIOError)
+        return True
+
     def discard(self) -> None:
         """Drop what has not been sent: nothing sensible can be written after it."""
         self.out.clear()
@@ -314,19 +335,21 @@
             if not self.code:
                 self._push()
         self.flushing = False
-        if self.last_code:
-            self.close(self.last_code)
+        if self.finished:
+            self.finish()
 
-    def close_when_sent(self, code: str) -> None:
-        """Close once all that is buffered has gone out."""
-        self.last_code = code
-        if not self.out:
-            self.close(code)
+    def finish(self) -> None:
+        """Shut down writing once all that is buffered has gone out; reading goes on."""
+        self.finished = True
+        if not self.out and not self.code:
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_WR)
 
     def close(self, code: str) -> None:
         """Close it once; the first reason code stays, and a parked reader wakes with it."""
         if self.code:
             return
+        self.keep(0)
         self.code = code
         self.discard()
         self.sched.forget(self.fd)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -4,6 +4,7 @@
 
 from hitchtiller.codec import frames, resp
 from hitchtiller.codec.bus import BadBus, BusReader
+from hitchtiller.front.client import Numbers
 from hitchtiller.news import Ban, Topology
 
 
@@ -28,6 +29,19 @@
                 frames.read_fields(whole[:n])
 
 
+    def test_a_field_comes_once(self) -> None:
+        data = frames.write_fields({"c": "files", "d": "1"}).replace(b"\1d", b"\1c")
+        with self.assertRaises(frames.BadFrame):
+            frames.read_fields(data)
+
+    def test_stream_numbers_are_new_in_bounded_space(self) -> None:
+        numbers = Numbers()
+        self.assertEqual([numbers.use(n) for n in (1, 4, 3, 3, 4, 5)], [True, True, True, False, False, True])
+        for number in range(10, 100_000, 7):
+            self.assertTrue(numbers.use(number))
+        self.assertLessEqual(len(numbers.holes), 64)
+
+
 class Resp(unittest.TestCase):
     def test_answers_are_read_alike_whole_and_in_pieces(self) -> None:
         answers = [[b"1", b"DONE", b"rev=a", b"\r\n$3\r\n"], [b"2", b"LACK", b"-", b""], [b"3", b"PAST"]]
