End spoilt and stuck links, blame a break once and an error only when proven

Checked: log times of 'junk' and 'left out' agree to 1 ms; no connect failed, lag under 3 ms, so neither load nor the network. At fault: decide.py judge (blame for each attempt of one break, and for an error that is the request's own); jobs.py STATUS.get(word, "err"); link.py _read kept a silent or half-answered link until each deadline, killed grew to 4096 and then kept its link unused for good; upstreams.py ended handed jobs on without bound.

--- a/hitchtiller/back/jobs.py
+++ b/hitchtiller/back/jobs.py
@@ -1,12 +1,18 @@
 """What is written on a connection to a server, and what its answer means."""
 
+import math
+import re
 from collections.abc import Callable
 from itertools import product
 from typing import Protocol
 
 from hitchtiller.codec import resp
 from hitchtiller.exchange import Attempt, Ending
+from hitchtiller.sched import now_ms
 
+METER_MS = 1_000.0
+SINCE = re.compile(r"[0-9]{1,16}\Z")
+REV = re.compile(r"[0-9A-Za-z_.:+/-]{1,128}\Z")
 STATUS = {"DONE": "done", "KEEP": "done", "LACK": "enoent", "WAIT": "busy", "BROKE": "err", "PAST": "skipped"}
 
 
@@ -20,12 +26,14 @@
     """A command that is owed an answer under its name."""
 
     name: bytes
+    due_ms: float  # when an answer should have come, once it is written
+    moves: int  # how often it was handed on unwritten
 
     def command(self) -> bytes | None:
         """Write it, at its first byte; None if it may not go any more."""
 
     def answered(self, word: str, fields: dict[str, str], body: bytes) -> None:
-        """Take its answer."""
+        """Take its answer; resp.BadResp for one that no server of ours gives."""
 
     def broken(self, status: str) -> None:
         """Take the connection's end instead."""
@@ -37,6 +45,7 @@
     def __init__(self, attempt: Attempt) -> None:
         """Carry an attempt."""
         self.attempt = attempt
+        self.due_ms, self.moves = math.inf, 0
         self.name = attempt.exchange.ask.id.encode()
 
     def command(self) -> bytes | None:
@@ -47,6 +56,7 @@
             attempt.drop("skipped")
             return None
         attempt.written = True
+        self.due_ms = now_ms() + attempt.get.overdue_ms if attempt.get.overdue_ms else math.inf
         ask, get = attempt.exchange.ask, attempt.get
         ttl = max(1, int(clearance.ttl_ms))
         fields = f"lane={ask.class_name},name={ask.object},piece={ask.part},ttl={ttl}"
@@ -66,9 +76,13 @@
 
     def answered(self, word: str, fields: dict[str, str], body: bytes) -> None:
         """End the attempt in the decisions' words."""
-        status = STATUS.get(word, "err")
+        status, ask = STATUS.get(word, ""), self.attempt.exchange.ask
+        rev, since = fields.get("rev"), fields.get("since")
+        copy = status == "done" and not ask.dedupe  # what ran at the origin is no copy and has no tag
+        if not status or (copy and not (REV.match(rev or "") and SINCE.match(since or ""))):
+            raise resp.BadResp(f"answer {word!r:.20} rev={rev!r:.40} since={since!r:.40}")  # as may the rest
         unchanged = word == "KEEP"
-        if unchanged and not self.attempt.exchange.ask.have:
+        if unchanged and not ask.have:
             status = "err"  # a server that keeps a copy the client never named
         load = resp.read_report(fields["rep"]) if "rep" in fields else {}
         served = body if word == "DONE" else b""
@@ -85,10 +99,12 @@
     def __init__(self, number: int, report: Callable[[str, dict[str, float]], None]) -> None:
         """Report to `report` once."""
         self.name = b"m%x" % number
+        self.due_ms, self.moves = math.inf, 0
         self.report = report
 
     def command(self) -> bytes:
         """Write METER."""
+        self.due_ms = now_ms() + METER_MS
         return resp.write_command(b"METER", self.name)
 
     def answered(self, word: str, fields: dict[str, str], body: bytes) -> None:
--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -12,7 +12,9 @@
 from hitchtiller.sched import Closed, Scheduler, Stream, now_ms
 
 IDLE_SHARE = 0.7  # of the idle time after which servers close: closing first avoids a race with a send
-MOST_KILLED = 4096
+KILLED_MS = 6_000.0  # by then nothing of a killed request comes any more
+DOUBT_MS, STUCK_MS = 200.0, 400.0  # without a byte while an answer is overdue: nothing new, then the end
+CUT_MS = 400.0  # without a byte in the middle of an answer
 
 
 class Link:
@@ -35,7 +37,11 @@
         self.pending: deque[Job | bytes] = deque()
         self.waiting: set[bytes] = set()  # names in `pending`
         self.open: dict[bytes, Job] = {}
-        self.killed: set[bytes] = set()  # their answers may still be under way
+        self.killed: dict[bytes, float] = {}  # since when: their answers may still be under way
+        self.reader = resp.RespReader()
+        self.heard_ms = self.used_ms = now_ms()
+        self.doubtful = False
+        self.junk = ""  # what could not be read
         self.writing: tuple[Job | bytes, float] | None = None
         self.writer: greenlet | None = None  # while parked for want of work
         self.spoiled = False
@@ -49,7 +55,7 @@
 
     def keeps(self, name: bytes) -> bool:
         """Tell whether it may take a job of this name, if only once it has room."""
-        if self.stream.code or self.spoiled or len(self.killed) >= MOST_KILLED:
+        if self.stream.code or self.spoiled or self.doubtful:
             return False
         if self.writing and now_ms() - self.writing[1] > self.connect_ms:
             return False  # guards against queueing behind a machine that takes nothing
@@ -69,7 +75,9 @@
             self.waiting.discard(name)
         elif self.open.get(name) is job:
             del self.open[name]
-            self.killed.add(name)
+            self.killed[name] = now = now_ms()
+            while (oldest := next(iter(self.killed))) and now - self.killed[oldest] > KILLED_MS:
+                del self.killed[oldest]  # guards against growth: a KILL is owed no answer
             if self.writing and self.writing[0] is job:
                 # half a command was written: nothing else can be, so no KILL and no new job
                 self.spoiled = True
@@ -101,43 +109,52 @@
             self._read()
         except Closed as error:
             self.stream.close(str(error))
-        except resp.BadResp:
+        except resp.BadResp as error:
+            self.junk = str(error)
             self.stream.close("junk")
         finally:
             self.stream.close("fault")  # keeps its reason if it has one
             self._settle()
 
+    def check(self, now: float) -> None:
+        """Look for what shows only with time: an answer cut short, silence on all of it, no use."""
+        if self.stream.code or not self.up:
+            return
+        quiet, unused = now - self.heard_ms, now - max(self.heard_ms, self.used_ms)
+        late = any(now > job.due_ms for job in self.open.values())
+        # guards against a connection on which answers stopped: all on it waited for their deadlines
+        self.doubtful = late and quiet > DOUBT_MS
+        taken = self.writing is None or now - self.writing[1] < 2.0 * self.connect_ms
+        if (self.reader.within and quiet > CUT_MS) or (late and quiet > STUCK_MS) or not taken:
+            self.stream.close("stuck")
+        elif not (self.open or self.waiting) and unused > self.idle_ms * IDLE_SHARE:
+            self.stream.close("idle")
+
     def _read(self) -> None:
-        reader = resp.RespReader()
         while True:
-            try:
-                data = self.stream.read(self.idle_ms * IDLE_SHARE)
-            except Closed as error:
-                if str(error) != "silent" or self.stream.code:
-                    raise
-                if self.open or self.waiting:
-                    continue  # the attempts' own time-outs see to a silent server
-                raise Closed("idle") from None
-            for items in reader.feed(data):
+            data = self.stream.read()
+            self.heard_ms = now_ms()
+            for items in self.reader.feed(data):
                 self._answer(items)
+            self.stream.keep(len(self.reader.buffer))
 
     def _answer(self, items: list[bytes]) -> None:
         if not 2 <= len(items) <= 4:
             raise resp.BadResp(f"{len(items)} items")
         job = self.open.pop(items[0], None)
         if job is None:
-            self.killed.discard(items[0])  # it crossed the KILL, or answers nothing of ours: dropped
+            self.killed.pop(items[0], None)  # it crossed the KILL, or answers nothing of ours: dropped
             return
+        self.done += 1
+        if self.pending:
+            self._wake()  # it may have waited for room
         try:
             fields = resp.read_fields(items[2]) if len(items) > 2 else {}
             word = items[1].decode("ascii", "replace")
+            job.answered(word, fields, items[3] if len(items) > 3 else b"")
         except resp.BadResp:
             self.open[items[0]] = job  # ends with the connection
             raise
-        self.done += 1
-        if self.pending:
-            self._wake()  # it may have waited for room
-        job.answered(word, fields, items[3] if len(items) > 3 else b"")
         if self.spoiled and not self.open:
             raise Closed("spoiled")
 
@@ -156,9 +173,10 @@
                 data = job.command()
                 if data is not None:
                     self.open[job.name] = job
-                    self.killed.discard(job.name)
+                    self.killed.pop(job.name, None)
             if data is not None:
-                self.writing = (job, now_ms())
+                self.used_ms = now_ms()
+                self.writing = (job, self.used_ms)
                 self.stream.write_whole(data)
                 self.writing = None
 
@@ -170,7 +188,7 @@
 
     def _settle(self) -> None:
         """End what was written and hand back what was not: that can't have run."""
-        ended("server", self.server, self.stream.code, done=self.done, open=len(self.open))
+        ended("server", self.server, self.stream.code, self.junk, done=self.done, open=len(self.open))
         jobs, self.open = list(self.open.values()), {}
         self._wake()
         if self.up:
@@ -183,4 +201,4 @@
             for job in waiting:
                 job.broken("econnrefused")
         for job in jobs:
-            job.broken("econnreset")
+            job.broken("etimedout" if self.stream.code == "stuck" else "econnreset")
--- a/hitchtiller/back/upstreams.py
+++ b/hitchtiller/back/upstreams.py
@@ -7,7 +7,10 @@
 from hitchtiller.back.link import Link
 from hitchtiller.exchange import Attempt
 from hitchtiller.news import Listed, Topology
-from hitchtiller.sched import Scheduler
+from hitchtiller.sched import Scheduler, now_ms
+
+MOST_MOVES = 2  # connections that an unwritten job may see end
+SWEEP_MS = 100.0
 
 
 class Pool:
@@ -42,7 +45,11 @@
             self.links.remove(link)
             self.owner.count -= 1
         for job in unwritten:
-            self.submit(job)
+            job.moves += 1
+            if job.moves > MOST_MOVES:  # guards against a server that resets whatever is opened
+                job.broken("econnrefused")
+            else:
+                self.submit(job)
 
     def close(self, code: str) -> None:
         """End all connections, and with them what is out on them."""
@@ -60,6 +67,17 @@
         self.pools: dict[str, Pool] = {}
         self.count = 0  # connections
         self.numbers = count(1)
+        sched.spawn(self._sweep)
+
+    def _sweep(self) -> None:
+        last = now_ms()
+        while True:
+            self.sched.sleep(SWEEP_MS)
+            now = now_ms()
+            if now - last < 2.0 * SWEEP_MS:  # else the lag is ours: answers may lie unread
+                for link in [link for pool in self.pools.values() for link in pool.links]:
+                    link.check(now)
+            last = now
 
     def open(self, pool: Pool) -> Link:
         """Start a connection."""
--- a/hitchtiller/codec/resp.py
+++ b/hitchtiller/codec/resp.py
@@ -24,6 +24,11 @@
         self.left = 0  # bulk strings still to come in this array
         self.bulk = -1  # size of the one under way
 
+    @property
+    def within(self) -> bool:
+        """Tell whether an array has begun that is not whole."""
+        return bool(self.buffer or self.left)
+
     def feed(self, data: bytes) -> Iterator[list[bytes]]:
         """Give the arrays that are whole now; raise BadResp on what can't be one."""
         self.buffer += data
@@ -68,7 +73,6 @@
         finally:
             del self.buffer[:start]
 
-
     def _whole(self, start: int) -> tuple[int, list[bytes]] | None:
         """Take an answer that is there as a whole in one step: nearly all are; else None."""
         match = HEAD.match(self.buffer, start)
--- a/hitchtiller/decide.py
+++ b/hitchtiller/decide.py
@@ -27,7 +27,9 @@
 ORIGIN = 24  # my attempts at the origin at once: room when parents are lost or a load that stops it
 MARGIN_MS, TURN = 100.0, 7919  # kept from the ends of windows: clocks and ways; a prime, spreads gateways
 # Health
-BLAME = {"err": 0.25, "econnreset": 0.25, "econnrefused": 0.4, "busy": 0.2, "silence": 0.3, "slow": 0.15}
+BLAME = {"err": 0.25, "econnreset": 0.25, "econnrefused": 0.4, "busy": 0.2, "silence": 0.3, "slow": 0.15,
+         "doubt": 0.05}  # an error that may be the request's own fault
+MOST_ERRORS = 3  # errors from which on it is: tries or load
 CLEAR, UNTOLD_FILL = 0.8, 0.3  # what an answer leaves of the blame; share of fills, where that is untold
 EJECT_AT, EJECT_MS = 0.55, (1_500.0, 12_000.0)  # blame at which a server is left out; first, longest time
 OVERDUE, SWEEP_MS = (400.0, 2.0), 50.0  # overdue after this and so many times its work; how often to look
@@ -223,7 +225,7 @@
         """Take a request and send its first attempt."""
         cls = self.s.classes[ask.class_name]
         work = 1000.0 * ask.size_kb / (self.s.flow_kb_per_s or math.inf) or self.mean[cls.name]
-        self.mean[cls.name] += LEARN * (work - self.mean[cls.name])
+        self.mean[cls.name] += LEARN * (min(work, cls.deadline_ms) - self.mean[cls.name])
         hashed = mix(ask.key, ask.part)
         held = Held(ask, cls, work, (ask.key, ask.part), hashed, hashed % self.s.group_size)
         self.held[ask.id] = held
@@ -260,7 +262,8 @@
         held.shots, held.out = held.shots + 1, True
         keep, left = 0 if held.cls.write else held.keep, held.ask.deadline_ms - self.now
         names, how = (node.m.server, source.m.server), (self.s.joins, stage == "sibling", stage == "fill")
-        self.acts.append(api.Get(held.ask.id, *names, left, keep, self.oldest(held, stage), *how))
+        overdue = OVERDUE[0] + OVERDUE[1] * held.work
+        self.acts.append(api.Get(held.ask.id, *names, left, keep, self.oldest(held, stage), *how, overdue))
 
     def book(self, attempt: Attempt, sign: int) -> None:
         """Add an attempt to its cache's and source's work, or take it off."""
@@ -285,7 +288,7 @@
         if attempt:
             self.book(attempt, -1)
             attempt.node.late -= attempt.late
-            self.judge(attempt, event)
+            self.judge(held, attempt, event)
         if not attempt or not held:
             return
         held.out = False
@@ -318,7 +321,7 @@
         elif status == "enoent" and attempt.stage == "sibling":
             self.tell(held.home, api.PeerNote("lacks", *held.item, attempt.source.m.server))
             self.fill(held, None)
-        elif self.tokens < 1.0 or attempt.stage == "only":
+        elif self.tokens < 1.0 or attempt.stage == "only" or len(held.errors) >= MOST_ERRORS:
             self.give_up(held)
         else:
             self.tokens -= 1.0
@@ -336,20 +339,31 @@
         else:
             self.send(held, node, self.source(held), "fill")
 
-    def judge(self, attempt: Attempt, event: api.Outcome) -> None:
-        """Blame quick failures on whichever of cache and source has the worse name."""
+    def judge(self, held: Held | None, attempt: Attempt, event: api.Outcome) -> None:
+        """Blame failures: an error in full only if another attempt is served, a break only once."""
         node, source = attempt.node, attempt.source
         if event.status in ("done", "enoent"):
             self.clear(node)
             unknown = self.s.notes == "none" and event.status == "done"
             if source is not node and (event.note in (2, 3) or unknown):
                 self.clear(source, CLEAR**UNTOLD_FILL if unknown else CLEAR)
-        elif event.status in BLAME:
-            node.answered_ms = self.now
-            own = source is node or event.status.startswith("econn")
-            self.blame(node, BLAME[event.status] * (1.0 if own else 1.0 - source.blame))
-            if not own:
-                self.blame(source, BLAME[event.status] * (1.0 - node.blame))
+            for failed in held.errors if held and event.status == "done" else ():
+                self.fault(failed, "err")
+        elif event.status == "err" and held:
+            held.errors.append(attempt)  # a client's bad request must not have good servers left out
+            self.fault(attempt, "doubt")
+        elif event.status in BLAME and not (event.status == "econnreset" and attempt.sent <= node.broke_ms):
+            node.broke_ms = self.now if event.status == "econnreset" else node.broke_ms
+            self.fault(attempt, event.status)
+
+    def fault(self, attempt: Attempt, status: str) -> None:
+        """Blame quick failures on whichever of cache and source has the worse name."""
+        node, source = attempt.node, attempt.source
+        node.answered_ms = self.now
+        own = source is node or status.startswith("econn")
+        self.blame(node, BLAME[status] * (1.0 if own else 1.0 - source.blame))
+        if not own:
+            self.blame(source, BLAME[status] * (1.0 - node.blame))
 
     def clear(self, node: Node, left: float = CLEAR) -> None:
         """Note an answer: the server works."""
--- a/hitchtiller/interface.py
+++ b/hitchtiller/interface.py
@@ -195,6 +195,7 @@
     join: bool = False
     held_only: bool = False  # the source gives only what it holds
     renew: bool = False
+    overdue_ms: float = 0.0  # from which on no answer is a bad sign; 0: never
 
 
 @dataclass(frozen=True, slots=True)
--- a/hitchtiller/log.py
+++ b/hitchtiller/log.py
@@ -12,6 +12,7 @@
     logger.configure(extra={"node": name})
 
 
-def ended(side: str, peer: str, code: str, **counts: int) -> None:
+def ended(side: str, peer: str, code: str, detail: str = "", **counts: int) -> None:
     """Write the line of a connection that has ended."""
-    logger.info("end {} {} code={} {}", side, peer, code, " ".join(f"{k}={v}" for k, v in counts.items()))
+    texts = [f"{name}={count}" for name, count in counts.items()]
+    logger.info("end {} {} code={} {}", side, peer, code, " ".join([*texts, detail] if detail else texts))
--- a/hitchtiller/records.py
+++ b/hitchtiller/records.py
@@ -43,6 +43,7 @@
     blame: float = 0.0
     out_until: float = 0.0  # left out until then
     ejections: int = 0
+    broke_ms: float = -1.0  # when a connection to it last broke
     trial: bool = False  # back on trial: one attempt at a time
 
 
@@ -72,5 +73,6 @@
     out: bool = False
     keep: int = 1
     avoid: list[Node] = field(default_factory=list)  # caches and sources that failed it
+    errors: list[Attempt] = field(default_factory=list)  # it may be at fault itself
     looked: Node | None = None  # the cache that lacks it
     ran: tuple[float, Node] | None = None  # first attempt that may have run
--- /dev/null
+++ b/tests/test_back.py
@@ -0,0 +1,84 @@
+"""The pools and connections of the server side, without a network."""
+
+import unittest
+from collections.abc import Callable
+from typing import Any
+from unittest import mock
+
+from hitchtiller.back import link as link_module
+from hitchtiller.back.link import Link
+from hitchtiller.back.upstreams import MOST_MOVES, Upstreams
+from hitchtiller.interface import Member
+from hitchtiller.news import Listed, Topology
+from hitchtiller.sched import Scheduler
+
+
+class Job:
+    """Something to write that tells how it ended."""
+
+    def __init__(self, name: bytes = b"1", due_ms: float = 1e18) -> None:
+        self.name, self.due_ms, self.moves = name, due_ms, 0
+        self.ends: list[str] = []
+
+    def command(self) -> bytes:
+        return b"*1\r\n$1\r\nx\r\n"
+
+    def answered(self, word: str, fields: dict[str, str], body: bytes) -> None:
+        self.ends.append(word)
+
+    def broken(self, status: str) -> None:
+        self.ends.append(status)
+
+
+class Connections(unittest.TestCase):
+    def setUp(self) -> None:
+        self.back = Upstreams(Scheduler(), (400.0, 1000.0), 4, 8)
+        self.back.follow(Topology((Listed(Member("s", "z", "k", "SERVING"), ("127.0.0.1", 1)),), True))
+        self.pool = self.back.pools["s"]
+
+    def link(self, *jobs: Job) -> Link:
+        """Open a connection that has written these jobs."""
+        link = self.back.open(self.pool)
+        link.up, link.open = True, {job.name: job for job in jobs}
+        self.addCleanup(link.stream.close, "end")
+        return link
+
+    def at(self, now: float, call: Callable[[], Any]) -> Any:
+        with mock.patch.object(link_module, "now_ms", lambda: now):
+            return call()
+
+    def test_an_unwritten_job_is_not_handed_on_without_end(self) -> None:
+        """A server that reset whatever was opened had the loop to itself."""
+        job = Job()
+        for _ in range(MOST_MOVES):
+            self.pool.ended(self.link(), [job])
+            self.assertFalse(job.ends)
+        self.pool.ended(self.link(), [job])
+        self.assertEqual(job.ends, ["econnrefused"])
+
+    def test_what_was_killed_is_forgotten_with_age(self) -> None:
+        jobs = [Job(b"%d" % n) for n in range(50)]
+        link = self.link(*jobs)
+        for n, job in enumerate(jobs):
+            self.at(n * 1000.0, lambda job=job: link.cancel(job))
+        self.assertLessEqual(len(link.killed), 8)
+
+    def test_a_connection_on_which_answers_stopped_gets_nothing_new_and_ends(self) -> None:
+        """All on it waited for their deadlines."""
+        link = self.link(Job(due_ms=link_module.now_ms()))
+        quiet = link.heard_ms
+        link.check(quiet + 300.0)
+        self.assertEqual((link.room(b"2"), link.stream.code), (False, ""))
+        link.check(quiet + 500.0)
+        self.assertEqual(link.stream.code, "stuck")
+
+    def test_silence_is_no_bad_sign_while_nothing_is_overdue(self) -> None:
+        link = self.link(Job())
+        link.check(link.heard_ms + 900.0)
+        self.assertTrue(link.room(b"2"))
+
+    def test_an_answer_that_is_cut_short_ends_the_connection(self) -> None:
+        link = self.link(Job())
+        list(link.reader.feed(b"*4\r\n"))
+        link.check(link.heard_ms + 500.0)
+        self.assertEqual(link.stream.code, "stuck")
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -258,3 +258,34 @@
     bench.give(api.Purged(6, 0, 500.0))
     (purged,) = gets(bench.ask(3, key=6))
     assert purged.age_ms == 500.0
+
+
+def test_a_break_is_blamed_once_however_many_attempts_it_ended(bench: Bench) -> None:
+    """One connection with ten attempts on it had a good cache left out."""
+    sent = [get for id in range(10) for get in gets(bench.ask(id, key=5, size_kb=10.0))]
+    bench.now += 10.0
+    for get in sent:
+        bench.end(get, "econnreset")
+    node = bench.router.nodes[sent[0].server]
+    assert 0.0 < node.blame <= 0.25
+
+
+def test_an_error_is_blamed_in_full_only_if_another_attempt_is_served(bench: Bench) -> None:
+    """Bad clients' requests had good caches left out, and used up the further attempts of all."""
+    (first,) = gets(bench.ask(1, key=5, size_kb=10.0))
+    (second,) = gets(bench.end(first, "err"))
+    (third,) = gets(bench.end(second, "err", shot=1))
+    acts = bench.end(third, "err", shot=2)
+    assert isinstance(acts[-1], api.Refuse)
+    assert max(node.blame for node in bench.router.nodes.values()) < 0.2
+    (first,) = gets(bench.ask(2, key=5, size_kb=10.0))
+    before = bench.router.nodes[first.source].blame
+    (second,) = gets(bench.end(first, "err"))
+    bench.end(second, "done", shot=1, closed=True)
+    assert bench.router.nodes[first.source].blame > before + 0.1
+
+
+def test_sizes_that_cannot_be_do_not_spoil_a_classs_mean(bench: Bench) -> None:
+    for id in range(50):
+        bench.ask(id, size_kb=1e6)
+    assert bench.router.mean["small"] <= 3000.0
