--- a/hitchtiller/decide.py
+++ b/hitchtiller/decide.py
@@ -28,7 +28,7 @@
 MARGIN_MS, TURN = 100.0, 7919  # kept from the ends of windows: clocks and ways; a prime, spreads gateways
 # Health
 BLAME = {"err": 0.25, "econnreset": 0.25, "econnrefused": 0.4, "busy": 0.2, "silence": 0.3, "slow": 0.15,
-         "doubt": 0.05}  # an error that may be the request's own fault
+         "doubt": 0.1}  # an error that may be the request's own fault
 MOST_ERRORS = 3  # errors from which on it is: tries or load
 CLEAR, UNTOLD_FILL = 0.8, 0.3  # what an answer leaves of the blame; share of fills, where that is untold
 EJECT_AT, EJECT_MS = 0.55, (1_500.0, 12_000.0)  # blame at which a server is left out; first, longest time
