Control listener with ready, drain and resume; the front has a drained state

Cause: Front.ready knew only 'stopping', and there was nowhere to call. Checked: with the first build no client came back after the resume; the log's last probe was 1.5 s after the drain: Front.shut, which refuses late requests, also ended the accepting greenlet (server.py, _accept). They are two things now: refusing, and a listener that stays open. The clients close by themselves on frame 3 within 0.3 s.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -15,6 +15,8 @@
 from hitchtiller.decide import Router
 from hitchtiller.engine import Engine
 from hitchtiller.front.server import Front
+from hitchtiller.ops.calls import Calls
+from hitchtiller.ops.control import Control
 from hitchtiller.peers import Peers
 from hitchtiller.reload import Reload
 from hitchtiller.sched import Clock, Scheduler, Stream
@@ -71,12 +73,15 @@
         bus.apply(event)
     front = Front(sched, engine, config.settings, clients, room(config.memory_mb))
     host, port = front.listen(config.listen)
+    if config.control:
+        at = Control(sched, Calls(front)).listen(config.control)
+        logger.info("control on {}:{}", *at)
     sched.spawn(bus.run)
     if peers:
         sched.spawn(peers.run, engine)
     sched.spawn(report, sched, engine, front)
     reload = Reload(config, os.environ, bus.move)
-    Signals(sched, {signal.SIGTERM: front.stop, signal.SIGINT: front.stop, signal.SIGHUP: reload})
+    Signals(sched, {signal.SIGTERM: front.leave.stop, signal.SIGINT: front.leave.stop, signal.SIGHUP: reload})
     sched.spawn(tidy, sched)
     logger.info("serving on {}:{}, {} sockets, {} MB", host, port, config.sockets, config.memory_mb)
     sched.run()
--- a/hitchtiller/codec/bus.py
+++ b/hitchtiller/codec/bus.py
@@ -85,7 +85,7 @@
 def read_dial(text: str) -> tuple[str, int]:
     """Read an address and port."""
     ip, _, port = text.rpartition(":")
-    if not ip or not port.isdigit():
+    if not ip or not port.isdecimal() or int(port) > 0xFFFF:
         raise BadBus(f"address {text!r}")
     return ip, int(port)
 
--- a/hitchtiller/config.py
+++ b/hitchtiller/config.py
@@ -23,6 +23,8 @@
 
     name: str
     listen: Address
+    listen_fd: int | None  # the clients' listening socket, where the platform holds it
+    control: Address | None  # where operators call
     seed: int
     sockets: int
     memory_mb: float
@@ -69,10 +71,16 @@
         raise ConfigError(f"{len(peers)} peers for {settings.group_size} gateways")
     rules = setup.get("limits", {})
     listen = environ.get("BALANCER_LISTEN") or data["listen"]
+    listen_fd = environ.get("BALANCER_LISTEN_FD", "")
+    if listen_fd and not listen_fd.isdecimal():
+        raise ConfigError(f"BALANCER_LISTEN_FD {listen_fd!r} is no descriptor")
+    control = environ.get("BALANCER_CONTROL") or data.get("control")
     peer_listen = data.get("peer_listen")
     return Config(
         name=environ.get("BALANCER_NAME") or str(data["name"]),
         listen=read_dial(listen),
+        listen_fd=int(listen_fd) if listen_fd else None,
+        control=read_dial(control) if control else None,
         seed=int(str(data["seed"]), 16),
         sockets=int(limits.get("sockets", 1024)),
         memory_mb=float(limits.get("memory_mb", 192)),
--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -18,6 +18,8 @@
 PAUSE_AT = 1_000_000  # bytes that a client has not taken, from which nothing more is read of it
 AT_ONCE = 16  # frames of one connection in a turn: hundreds at once must not hold up the others
 OWED_MS = 2_200.0  # for a first whole frame, or the rest of one; a large body comes in less
+QUIET_MS = 200.0  # without a word, from which a connection is let go: requests may cross frame 3
+PROBE_MS = 1_000.0  # the front's probes come ten times a second, and may keep theirs
 LINGER_MS = 1_500.0  # what is unread at a close is read and dropped for so long
 
 
@@ -52,6 +54,8 @@
         self.closing = ""  # a reason to close once all in hand is answered
         self.taken = 0
         self.asked = False  # a whole frame has come
+        self.told = False  # that no new request may come
+        self.probed_ms = -math.inf  # when it asked last whether the gateway is ready
         self.arrived_ms = self.seen_ms = now_ms()  # when one came last
         self.owed_ms: float | None = self.seen_ms  # since when the client owes the rest of a frame
         self.until_ms = math.inf  # the end of a close that lingers
@@ -127,7 +131,8 @@
             if exchange := self.open.pop(frame.stream, None):
                 self.front.engine.leave(exchange)
         elif frame.kind == frames.READY:
-            code = frames.SERVED if self.front.ready() else frames.REFUSED
+            self.probed_ms = now_ms()
+            code = frames.REFUSED if self.front.unready() else frames.SERVED
             payload = bytes([code]) + frames.write_fields({})
             self.stream.write(frames.head(frames.READY_ANSWER, frame.stream, len(payload)) + payload)
         else:
@@ -156,6 +161,7 @@
 
     def _answer(self, stream: int, answer: Answer) -> None:
         self.open.pop(stream, None)
+        self.seen_ms = now_ms()
         self._say(stream, answer)
         self._close_if_done()
 
@@ -163,8 +169,17 @@
         self.stream.write(*write_answer(stream, answer))
 
     def going(self) -> None:
-        """Tell that no new request may come on this connection."""
-        self.stream.write(frames.head(frames.GOING, 0, 0))
+        """Tell once that no new request may come on this connection."""
+        if not self.told:
+            self.told = True
+            self.stream.write(frames.head(frames.GOING, 0, 0))
+
+    def settled(self, now: float, last: bool) -> bool:
+        """Tell whether it may be closed in a drain: nothing open, nothing unread, no word for a while."""
+        if not self.idle() or now - self.probed_ms <= PROBE_MS:
+            return False
+        half = self.asked and self.owed_ms is not None
+        return last or (not half and now - self.seen_ms > QUIET_MS)
 
     def close_when_done(self, code: str) -> None:
         """Close after the answers in hand: those requests were taken and must not be lost."""
--- /dev/null
+++ b/hitchtiller/front/leave.py
@@ -0,0 +1,85 @@
+"""How clients leave a gateway in order: a drain, which a call ends, and the stop, which nothing ends."""
+
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from hitchtiller.sched import now_ms
+
+if TYPE_CHECKING:
+    from hitchtiller.front.server import Front
+
+SERVING, DRAINED, STOPPING = "serving", "drained", "stopping"
+ACCEPT_MS = 450.0  # after the word to go, connections may come for 0.4 s
+REQUESTS_MS = 350.0  # and on open ones requests for 0.2 s more
+LEAVE_MS = 3_300.0  # after SIGTERM all is answered: the program may be killed from 3.7 s on
+LAST_MS = 250.0  # for the last answers to go out
+LATE_MS, LAST_CALL_MS = 1_500.0, 2_500.0  # in a drain: requests are refused, and their connections closed
+LOOK_MS = 50.0
+
+
+class Leave:
+    """Empties a front of its clients."""
+
+    def __init__(self, front: "Front") -> None:
+        """Work on a front's state and clients."""
+        self.front, self.sched = front, front.sched
+        self.drains = 0  # so that one that was called back ends
+
+    def drain(self) -> None:
+        """Say no from now on, and empty the gateway while it goes on listening."""
+        if self.front.state == SERVING:
+            self.front.state = DRAINED
+            self.drains += 1
+            logger.info("drained by call, {} clients", len(self.front.clients))
+            self.sched.spawn(self._empty, self.drains)
+
+    def resume(self) -> bool:
+        """Take clients again; False if the gateway is stopping."""
+        if self.front.state == DRAINED:
+            self.front.state, self.front.refusing = SERVING, False
+            for client in self.front.clients:
+                client.told = False  # a second drain has to tell it again
+            logger.info("resumed by call")
+        return self.front.state == SERVING
+
+    def _empty(self, drain: int) -> None:
+        begun = now_ms()
+        self.sched.sleep(ACCEPT_MS)
+        while self.front.state == DRAINED and drain == self.drains:
+            now = now_ms()
+            # guards against clients that ask on: from 4 s after the call none may hold a late request
+            self.front.refusing = now - begun > LATE_MS
+            for client in list(self.front.clients):
+                client.going()
+                if client.settled(now, now - begun > LAST_CALL_MS):
+                    client.stream.close("drained")
+            self.sched.sleep(LOOK_MS)
+
+    def stop(self) -> None:
+        """Leave: accept for the stated while, say so to all, answer what is in hand, then end the loop."""
+        front = self.front
+        if front.state == STOPPING:
+            return
+        front.state, leave_ms = STOPPING, now_ms() + LEAVE_MS
+        logger.info("told to stop")
+        self.sched.sleep(ACCEPT_MS)
+        front.close()
+        for client in list(front.clients):
+            client.going()
+        self.sched.sleep(REQUESTS_MS)
+        while self._busy() and now_ms() < leave_ms:
+            self.sched.sleep(10.0)
+        front.refusing = True  # whatever still comes is refused at once
+        for exchange in [exchange for client in front.clients for exchange in client.open.values()]:
+            front.engine.fail(exchange)  # guards against a kill while a request has no answer
+        self.sched.sleep(10.0)
+        while any(client.stream.size for client in front.clients) and now_ms() < leave_ms + LAST_MS:
+            self.sched.sleep(10.0)
+        for client in list(front.clients):
+            client.stream.close("stop")
+        self.sched.sleep(10.0)
+        self.sched.stopped = True
+
+    def _busy(self) -> bool:
+        return any(client.open or client.stream.size for client in self.front.clients)
--- /dev/null
+++ b/hitchtiller/ops/control.py
@@ -0,0 +1,105 @@
+"""Where operators call: one line a connection, one answer, then the close; ahead of client work."""
+
+import contextlib
+import socket
+from collections.abc import Callable
+
+from hitchtiller.log import ended
+from hitchtiller.sched import READ, Closed, Scheduler, Stream
+
+BACKLOG = 64
+LONGEST = 200  # bytes of a call
+WAIT_MS = 5_000.0  # for a whole call: callers are known to hold a connection for 4 s without one
+LINGER_MS = 500.0  # for the caller to close first: unread bytes would turn our close into a reset
+MOST_CALLERS = 16
+
+
+class CallError(Exception):
+    """A call that can't be carried out; the text is the reason."""
+
+
+class Control:
+    """The listener for calls; whoever holds a connection holds up nobody else."""
+
+    def __init__(self, sched: Scheduler, answer: Callable[[str], str]) -> None:
+        """Answer a line by `answer`, which raises CallError with a reason."""
+        self.sched, self.answer = sched, answer
+        self.callers: dict[Stream, bool] = {}  # whether the call is whole, the oldest first
+        self.listener = socket.socket()
+
+    def listen(self, address: tuple[str, int]) -> tuple[str, int]:
+        """Start to accept calls; gives the address, with the port that the system chose for 0."""
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.setblocking(False)
+        self.listener.bind(address)
+        self.listener.listen(BACKLOG)
+        self.sched.spawn(self._accept, urgent=True)
+        host, port = self.listener.getsockname()
+        return str(host), int(port)
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, address = self.listener.accept()
+            except BlockingIOError:
+                self.sched.wait(self.listener.fileno(), READ)
+                continue
+            except OSError:
+                self.sched.sleep(10.0)  # out of descriptors, or the caller left
+                continue
+            if len(self.callers) >= MOST_CALLERS:  # guards against callers that hold all there is
+                oldest = next((each for each, whole in self.callers.items() if not whole), None)
+                (oldest or next(iter(self.callers))).close("full")
+            stream = Stream(self.sched, sock)
+            stream.drained = False  # the call may be there already: asking poll would cost a turn of the loop
+            self.callers[stream] = False
+            self.sched.spawn(self._serve, stream, f"{address[0]}:{address[1]}", urgent=True)
+
+    def _serve(self, stream: Stream, peer: str) -> None:
+        line = reply = ""
+        try:
+            line = self._line(stream)
+            self.callers[stream] = True
+            reply = self._reply(line)
+            stream.write(reply.encode() + b"\n")
+            stream.finish()
+            self._linger(stream)
+            stream.close("answered")
+        except Closed as error:
+            stream.close(str(error))
+        finally:
+            stream.close("fault")
+            self.callers.pop(stream, None)
+            said = f"call={line[:LONGEST]!r} answer={reply.partition(chr(10))[0]!r}"
+            ended("control", peer, stream.code, said)
+
+    def _line(self, stream: Stream) -> str:
+        """Read the one line, within the time and the length that a call may have."""
+        data = b""
+        timer = self.sched.later(WAIT_MS, lambda: stream.close("silent"))
+        try:
+            while b"\n" not in data and len(data) <= LONGEST:
+                data += stream.read()
+        except Closed as error:
+            if str(error) != "eof" or not data:
+                raise
+            data += b"\n"  # a line that ends with its connection is a line
+        finally:
+            timer.cancel()
+        return data.partition(b"\n")[0][: LONGEST + 1].decode("ascii", "replace").removesuffix("\r")
+
+    def _reply(self, line: str) -> str:
+        try:
+            if len(line) > LONGEST:
+                raise CallError(f"a call has at most {LONGEST} bytes")
+            return f"+OK {self.answer(line)}".rstrip()
+        except CallError as error:
+            return f"-ERR {error}"
+
+    def _linger(self, stream: Stream) -> None:
+        timer = self.sched.later(LINGER_MS, lambda: stream.close("answered"))
+        with contextlib.suppress(Closed):
+            while True:
+                stream.read()
+                self.sched.sleep(2.0)  # a caller that sends without end gets no more than this
+        timer.cancel()
--- a/hitchtiller/sched.py
+++ b/hitchtiller/sched.py
@@ -51,12 +51,13 @@
         self.ready: deque[tuple[greenlet, Any]] = deque()
         self.heap: list[tuple[float, int, Timer]] = []
         self.order = count()
+        self.urgent: set[greenlet] = set()  # these run before all others of a turn
         self.hub: greenlet = getcurrent()
         self.stopped = False
         self.seen_ms = self.arrival_ms = now_ms()
         self.lag_ms = 0.0  # longest turn of the loop since it was last read
 
-    def spawn(self, run: Callable[..., object], *args: Any) -> greenlet:
+    def spawn(self, run: Callable[..., object], *args: Any, urgent: bool = False) -> greenlet:
         """Start a greenlet; an exception in it is logged and ends it alone, never the loop."""
 
         def guarded(_: object = None) -> None:
@@ -64,9 +65,13 @@
                 run(*args)
             except Exception:  # noqa: BLE001  one connection's fault must not take the others along
                 logger.exception("a task failed")
+            finally:
+                self.urgent.discard(task)
 
         task = greenlet(guarded, parent=self.hub)
-        self.ready.append((task, None))
+        if urgent:
+            self.urgent.add(task)
+        self.wake(task)
         return task
 
     def later(self, delay_ms: float, call: Callable[[], object]) -> Timer:
@@ -77,7 +82,10 @@
 
     def wake(self, task: greenlet, value: Any = None) -> None:
         """Let a parked greenlet go on in this turn of the loop."""
-        self.ready.append((task, value))
+        if task in self.urgent:  # guards operators' calls against a loop that is full of client work
+            self.ready.appendleft((task, value))
+        else:
+            self.ready.append((task, value))
 
     def park(self) -> Any:
         """Stop the current greenlet until it is woken; gives what it was woken with."""
@@ -129,7 +137,7 @@
     def _resume(self, fd: int, event: int, value: bool) -> None:
         task = self.waits.get(fd, {}).pop(event, None)
         if task is not None:
-            self.ready.append((task, value))  # still registered: mostly it waits for the same again
+            self.wake(task, value)  # still registered: mostly it waits for the same again
 
     def forget(self, fd: int) -> None:
         """Wake whoever waits for a descriptor that is about to be closed."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -69,6 +69,17 @@
         self.sock.close()
 
 
+class Lines:
+    """Takes the lines of an answer to a call apart."""
+
+    def __init__(self) -> None:
+        self.rest = ""
+
+    def feed(self, data: bytes) -> list[str]:
+        *lines, self.rest = (self.rest + data.decode()).split("\n")
+        return lines
+
+
 class Gateway:
     """A gateway process, with the caches and the bus round it as listeners of the scenario's own."""
 
@@ -92,6 +103,7 @@
         self.config: dict[str, Any] = {
             "name": "n0",
             "listen": "127.0.0.1:0",
+            "control": "127.0.0.1:0",
             "seed": "1",
             "limits": {"sockets": 256} | limits,
             "bus": "127.0.0.1:%d" % self.bus.getsockname()[1],
@@ -104,6 +116,7 @@
         command = [sys.executable, "-m", "hitchtiller"]
         self.process = subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
         self.lines: list[str] = []
+        self.control = int(self.expect_line("control on").rpartition(":")[2])
         self.port = int(self.expect_line("serving on").split("serving on 127.0.0.1:")[1].split(",")[0])
 
     def configure(self, text: str) -> None:
@@ -125,6 +138,18 @@
     def client(self) -> Party:
         return Party(socket.create_connection(("127.0.0.1", self.port)), frames.FrameReader())
 
+    def operator(self) -> Party:
+        """Open a connection for a call."""
+        return Party(socket.create_connection(("127.0.0.1", self.control)), Lines())
+
+    def call(self, line: str) -> list[str]:
+        """Make a call; gives the answer's lines once the gateway has closed."""
+        party, lines = self.operator().send(line.encode() + b"\n"), list[str]()
+        while (got := party.expect()) is not None:
+            lines.append(got)
+        party.close()
+        return lines
+
     def server(self, name: str = "cache") -> Party:
         """Accept the gateway's connection to a cache."""
         self.caches[name].settimeout(PATIENCE_S)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -15,11 +15,11 @@
 
 
 class Configuration(unittest.TestCase):
-    def read(self, **changes: Any) -> Any:
+    def read(self, env: dict[str, str] | None = None, **changes: Any) -> Any:
         with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
             file.write(json.dumps(json.loads(EXAMPLE.read_text()) | changes))
             file.flush()
-            return read_config({"BALANCER_CONFIG": file.name, "BALANCER_NAME": "n7"})
+            return read_config({"BALANCER_CONFIG": file.name, "BALANCER_NAME": "n7"} | (env or {}))
 
     def test_the_example_is_read(self) -> None:
         config = self.read()
@@ -30,6 +30,8 @@
         cases: list[tuple[dict[str, Any], str]] = [
             ({"seed": "xyz"}, "xyz"),
             ({"listen": "nowhere"}, "nowhere"),
+            ({"control": "127.0.0.1:http"}, "http"),
+            ({"control": "127.0.0.1:70000"}, "70000"),
             ({"settings": {}}, "classes"),
             ({"known": {"batch": [{"offset": 1, "topology": {"hosts": [{}]}}]}}, "host"),
         ]
@@ -37,6 +39,12 @@
             with self.assertRaisesRegex(ConfigError, word):
                 self.read(**changes)
 
+    def test_where_operators_call_may_be_absent_and_the_variable_goes_first(self) -> None:
+        self.assertIsNone(self.read(control=None).control)
+        self.assertEqual(self.read({"BALANCER_CONTROL": "127.0.0.1:9"}).control, ("127.0.0.1", 9))
+        with self.assertRaisesRegex(ConfigError, "BALANCER_LISTEN_FD"):
+            self.read({"BALANCER_LISTEN_FD": "seven"})
+
     def test_the_program_ends_with_2_and_one_line(self) -> None:
         command = [sys.executable, "-m", "hitchtiller"]
         for env in ({}, {"BALANCER_CONFIG": "/nowhere.json"}):
