A new version takes over by a locked sign in TMPDIR and the platform's socket

Cause: Front.listen bound the clients' address that the platform holds, and behind it Peers bound a UDP port the old process has (peers.py, bind). Ruled out: datagrams lost to the old one; with SO_REUSEADDR the kernel gives them to the socket bound later (test).

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 from itertools import count
+from pathlib import Path
 
 from loguru import logger
 
@@ -17,6 +18,8 @@
 from hitchtiller.front.server import Front
 from hitchtiller.ops.calls import Calls
 from hitchtiller.ops.control import Control
+from hitchtiller.ops.sign import Sign
+from hitchtiller.ops.upgrade import Upgrade
 from hitchtiller.peers import Peers
 from hitchtiller.reload import Reload
 from hitchtiller.sched import Clock, Scheduler, Stream
@@ -25,6 +28,7 @@
 REPORT_MS = 10_000.0
 TIDY_MS = 1_000.0
 OWN_MB = 26.0  # what the program holds in service without its buffers
+OWN_TWO_MB = 18.0  # and early on, as two versions do that live side by side
 EXTRA = 16  # clients beyond their third: a probe must not be turned away when they hold it all
 SPARE = 48  # descriptors kept for the listener, the bus, the log and the like
 
@@ -44,9 +48,10 @@
         sched.lag_ms = 0.0
 
 
-def room(memory_mb: float) -> int:
+def room(memory_mb: float, two: bool) -> int:
     """Give the bytes that buffers may hold in all: what the program itself leaves, and half for copies."""
-    return int(max(2.0, (memory_mb - OWN_MB) / 2.0) * 1e6)
+    own, least = (2.0 * OWN_TWO_MB, 1.0) if two else (OWN_MB, 2.0)
+    return int(max(least, (memory_mb - own) / (4.0 if two else 2.0)) * 1e6)
 
 
 def tidy(sched: Scheduler) -> None:
@@ -71,8 +76,16 @@
     bus = BusLink(sched, engine, config.bus, (config.zones, config.kinds))
     for event in config.known:
         bus.apply(event)
-    front = Front(sched, engine, config.settings, clients, room(config.memory_mb))
-    host, port = front.listen(config.listen)
+    front = Front(sched, engine, config.settings, clients, room(config.memory_mb, two=False))
+
+    def share(two: bool) -> None:
+        front.room = room(config.memory_mb, two)
+        back.most = (config.sockets - clients - SPARE) // (2 if two else 1)
+
+    sign = Sign(Path(folder)) if (folder := os.environ.get("TMPDIR")) else None
+    upgrade = Upgrade(sched, sign, front, bus.followed, share)
+    front.barred = upgrade.unready
+    host, port = front.listen(config.listen, config.listen_fd)
     if config.control:
         at = Control(sched, Calls(front)).listen(config.control)
         logger.info("control on {}:{}", *at)
@@ -84,7 +97,10 @@
     Signals(sched, {signal.SIGTERM: front.leave.stop, signal.SIGINT: front.leave.stop, signal.SIGHUP: reload})
     sched.spawn(tidy, sched)
     logger.info("serving on {}:{}, {} sockets, {} MB", host, port, config.sockets, config.memory_mb)
+    sched.spawn(upgrade.run)
     sched.run()
+    if sign:
+        sign.remove()
     logger.info("stopped")
 
 
--- a/hitchtiller/bus.py
+++ b/hitchtiller/bus.py
@@ -12,6 +12,7 @@
 CONNECT_MS = 400.0
 SILENT_MS = 1_800.0  # a frame comes each second; without a whole one the link is dead
 AGAIN_MS = 100.0
+AWAY_MS = 2_000.0  # from the start, until which a bus that is away keeps the gateway from being ready
 
 
 class BusLink:
@@ -24,6 +25,13 @@
         self.sched, self.engine, self.address, self.names = sched, engine, address, names
         self.last = 0
         self.stream: Stream | None = None
+        self.subscribed = self.told_all = False
+        self.begun_ms = now_ms()
+
+    def followed(self, whole: bool) -> bool:
+        """Tell whether the bus is followed; with `whole`, whether it has told all that there was."""
+        # guards against staying out of service for a bus that is away: what the file knows is of the start
+        return self.told_all or (not whole and (self.subscribed or now_ms() - self.begun_ms > AWAY_MS))
 
     def apply(self, event: Numbered) -> None:
         """Apply an event once, whichever way it came and however often it is told."""
@@ -50,6 +58,7 @@
             try:
                 stream.connect(address, CONNECT_MS)
                 stream.write(self.last.to_bytes(8, "big"))
+                self.subscribed = True
                 self._follow(stream)
             except (Closed, BadBus) as error:
                 stream.close(str(error) if isinstance(error, Closed) else "junk")
@@ -65,3 +74,4 @@
             for event in reader.feed(data):
                 whole_ms = now_ms()
                 self.apply(event)
+                self.told_all = self.told_all or event[1] is None
--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -132,7 +132,7 @@
                 self.front.engine.leave(exchange)
         elif frame.kind == frames.READY:
             self.probed_ms = now_ms()
-            code = frames.REFUSED if self.front.unready() else frames.SERVED
+            code = frames.REFUSED if self.front.told() else frames.SERVED
             payload = bytes([code]) + frames.write_fields({})
             self.stream.write(frames.head(frames.READY_ANSWER, frame.stream, len(payload)) + payload)
         else:
--- a/hitchtiller/front/leave.py
+++ b/hitchtiller/front/leave.py
@@ -1,4 +1,4 @@
-"""How clients leave a gateway in order: a drain, which a call ends, and the stop, which nothing ends."""
+"""How clients leave a gateway in order: for a drain, for a new version, or for good."""
 
 from typing import TYPE_CHECKING
 
@@ -9,13 +9,15 @@
 if TYPE_CHECKING:
     from hitchtiller.front.server import Front
 
-SERVING, DRAINED, STOPPING = "serving", "drained", "stopping"
+SERVING, DRAINED, HANDING, STOPPING = "serving", "drained", "handed over to the next version", "stopping"
 ACCEPT_MS = 450.0  # after the word to go, connections may come for 0.4 s
 REQUESTS_MS = 350.0  # and on open ones requests for 0.2 s more
 LEAVE_MS = 3_300.0  # after SIGTERM all is answered: the program may be killed from 3.7 s on
 LAST_MS = 250.0  # for the last answers to go out
 LATE_MS, LAST_CALL_MS = 1_500.0, 2_500.0  # in a drain: requests are refused, and their connections closed
 LOOK_MS = 50.0
+STAY_MS = 1_000.0  # after handing over: the next version may end in its first moments
+MOVED = "moved"  # the code of connections whose clients go to the next version
 
 
 class Leave:
@@ -38,8 +40,7 @@
         """Take clients again; False if the gateway is stopping."""
         if self.front.state == DRAINED:
             self.front.state, self.front.refusing = SERVING, False
-            for client in self.front.clients:
-                client.told = False  # a second drain has to tell it again
+            self._forget_told()
             logger.info("resumed by call")
         return self.front.state == SERVING
 
@@ -47,23 +48,56 @@
         begun = now_ms()
         self.sched.sleep(ACCEPT_MS)
         while self.front.state == DRAINED and drain == self.drains:
-            now = now_ms()
+            passed = now_ms() - begun
             # guards against clients that ask on: from 4 s after the call none may hold a late request
-            self.front.refusing = now - begun > LATE_MS
-            for client in list(self.front.clients):
-                client.going()
-                if client.settled(now, now - begun > LAST_CALL_MS):
-                    client.stream.close("drained")
+            self.front.refusing = passed > LATE_MS
+            self._let_go(passed > LAST_CALL_MS)
             self.sched.sleep(LOOK_MS)
 
+    def _let_go(self, last: bool) -> None:
+        """Tell all clients to go, and close those that hold nothing more."""
+        now = now_ms()
+        for client in list(self.front.clients):
+            client.going()
+            if client.settled(now, last):
+                client.stream.close(MOVED if self.front.state == HANDING else "drained")
+
+    def hand_over(self) -> None:
+        """Leave the clients to the next version, which accepts from now on, and end when all have gone."""
+        if self.front.state in (SERVING, DRAINED):
+            self.front.state, self.front.accepting, self.front.refusing = HANDING, False, False
+            logger.info("handed over to the next version, {} clients", len(self.front.clients))
+            self.sched.spawn(self._hand_over)
+
+    def take_back(self) -> None:
+        """Serve on: the next version has ended."""
+        if self.front.state == HANDING:
+            logger.warning("the next version has ended, serving again")
+            self.front.state, self.front.accepting = SERVING, True
+            self._forget_told()
+
+    def _hand_over(self) -> None:
+        begun = now_ms()
+        while self.front.state == HANDING:
+            self._let_go(last=False)
+            if not self.front.clients and now_ms() - begun > STAY_MS:
+                return self._end(MOVED)
+            self.sched.sleep(LOOK_MS)
+
+    def _forget_told(self) -> None:
+        for client in self.front.clients:
+            client.told = False  # a second time it has to be told again
+
     def stop(self) -> None:
         """Leave: accept for the stated while, say so to all, answer what is in hand, then end the loop."""
         front = self.front
         if front.state == STOPPING:
             return
+        alone = front.state != HANDING
         front.state, leave_ms = STOPPING, now_ms() + LEAVE_MS
         logger.info("told to stop")
-        self.sched.sleep(ACCEPT_MS)
+        if alone:
+            self.sched.sleep(ACCEPT_MS)
         front.close()
         for client in list(front.clients):
             client.going()
@@ -76,8 +110,11 @@
         self.sched.sleep(10.0)
         while any(client.stream.size for client in front.clients) and now_ms() < leave_ms + LAST_MS:
             self.sched.sleep(10.0)
-        for client in list(front.clients):
-            client.stream.close("stop")
+        self._end("stop")
+
+    def _end(self, code: str) -> None:
+        for client in list(self.front.clients):
+            client.stream.close(code)
         self.sched.sleep(10.0)
         self.sched.stopped = True
 
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -1,11 +1,12 @@
 """Accepts clients and keeps them within the limits."""
 
 import socket
+from collections.abc import Callable
 
 from hitchtiller import interface as api
 from hitchtiller.engine import Engine
 from hitchtiller.front.client import Client
-from hitchtiller.front.leave import SERVING, Leave
+from hitchtiller.front.leave import HANDING, SERVING, Leave
 from hitchtiller.log import ended
 from hitchtiller.sched import READ, Scheduler, Stream, now_ms
 
@@ -28,14 +29,25 @@
         self.state = SERVING
         self.refusing = False  # no more requests are taken
         self.leave = Leave(self)
+        self.accepting = True
+        self.barred: Callable[[], str] = str  # a further reason not to be ready
         self.listener = socket.socket()
 
-    def listen(self, address: tuple[str, int]) -> tuple[str, int]:
-        """Start to accept; gives the address, with the port that the system chose for 0."""
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.setblocking(False)
-        self.listener.bind(address)
-        self.listener.listen(BACKLOG)
+    def listen(self, address: tuple[str, int], held: int | None = None) -> tuple[str, int]:
+        """Start to accept; gives the address, with the port that the system chose for 0.
+
+        `held` is a listening socket of the platform's: others accept from it too, so it is never shut down.
+        """
+        if held is not None:
+            self.listener = socket.socket(fileno=held)
+            if not self.listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                raise OSError(f"descriptor {held} does not listen")
+            self.listener.setblocking(False)  # for all who hold it: two may wake for one connection
+        else:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.listener.setblocking(False)
+            self.listener.bind(address)
+            self.listener.listen(BACKLOG)
         self.sched.spawn(self._accept)
         self.sched.spawn(self._sweep)
         host, port = self.listener.getsockname()
@@ -45,11 +57,16 @@
         """Tell why requests should not come here; nothing if they may."""
         if self.state != SERVING:
             return self.state
-        return "" if self.engine.router.nodes else "no list of station caches yet"
+        return self.barred() if self.engine.router.nodes else "no list of station caches yet"
+
+    def told(self) -> str:
+        """Tell clients the same, but for a gateway whose next version is ready: the gateway as a whole is."""
+        return "" if self.state == HANDING else self.unready()
 
     def close(self) -> None:
-        """Listen no more; what the machine accepted until now counts as ours."""
-        self._accept_all()
+        """Listen no more; what the machine accepted until now counts as ours, unless another listens too."""
+        if self.accepting:
+            self._accept_all()
         self.sched.forget(self.listener.fileno())
         self.listener.close()
 
@@ -89,11 +106,14 @@
 
     def _accept(self) -> None:
         while self.listener.fileno() >= 0:
-            self.sched.wait(self.listener.fileno(), READ)
-            self._accept_all()
+            if self.accepting:
+                self.sched.wait(self.listener.fileno(), READ)
+                self._accept_all()
+            else:  # not in poll: what waits there is the other process's and would wake us again and again
+                self.sched.sleep(20.0)
 
     def _accept_all(self) -> None:
-        while self.listener.fileno() >= 0:
+        while self.accepting and self.listener.fileno() >= 0:
             try:
                 sock, address = self.listener.accept()
             except BlockingIOError:
--- /dev/null
+++ b/hitchtiller/ops/upgrade.py
@@ -0,0 +1,77 @@
+"""A new version takes over while the old one serves: who accepts, who is ready, and what each may hold."""
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from hitchtiller.front.server import Front
+from hitchtiller.ops.sign import READY, Sign
+from hitchtiller.sched import Scheduler
+
+LOOK_MS, START_MS = 100.0, 20.0  # how often to look, and while not ready yet
+
+
+class Upgrade:
+    """Looks for an older and a younger process of this gateway, and acts on what it sees."""
+
+    def __init__(
+        self,
+        sched: Scheduler,
+        sign: Sign | None,
+        front: Front,
+        followed: Callable[[bool], bool],
+        share: Callable[[bool], None],
+    ) -> None:
+        """Take over from an older one, if there is one; `share` sets the bounds for one process or two.
+
+        `followed` tells whether the bus is followed, or also (with True) that it has told all there was.
+        """
+        self.sched, self.sign, self.front = sched, sign, front
+        self.followed, self.share = followed, share
+        self.others: dict[str, str] = {}
+        self.ready = False
+        if sign:
+            self.others = sign.others()
+        if self.older():
+            logger.info("takes over from {}", ", ".join(self.older()))
+            front.accepting = False  # it would answer no list, and the older one serves
+            share(True)
+
+    def older(self) -> list[str]:
+        """Name the live processes that started before this one."""
+        return [name for name in self.others if self.sign and name < self.sign.name]
+
+    def succeeded(self) -> bool:
+        """Tell whether a younger process is ready to serve."""
+        older = self.older()
+        return any(state == READY for name, state in self.others.items() if name not in older)
+
+    def unready(self) -> str:
+        """Tell why this process should not be asked to serve yet; nothing if it may."""
+        if not self.ready and not self.followed(bool(self.older())):
+            return "the event bus is not followed yet"
+        return ""
+
+    def run(self) -> None:
+        """Look again and again."""
+        while True:
+            self.look()
+            self.sched.sleep(LOOK_MS if self.ready else START_MS)
+
+    def look(self) -> None:
+        """See who lives, and act on a change."""
+        before = bool(self.others)
+        if self.sign:
+            self.others = self.sign.others()
+        if before != bool(self.others):
+            self.share(bool(self.others))
+        if not self.ready and not self.front.unready():
+            self.ready = True
+            if self.sign:
+                self.sign.say(READY)
+            logger.info("ready")
+        if self.succeeded():
+            self.front.leave.hand_over()
+        else:
+            self.front.leave.take_back()
+            self.front.accepting = self.ready or not self.older()
--- a/hitchtiller/peers.py
+++ b/hitchtiller/peers.py
@@ -21,6 +21,8 @@
         self.numbers = {address: number for number, address in enumerate(peers)}
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
+        # guards a new version's start beside the old one; the kernel gives datagrams to the later of the two
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(listen)
 
     def tell(self, peer: int, note: api.PeerNote) -> None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,5 +1,7 @@
 """The scenario language: send, expect, close and wait, on real sockets against one gateway."""
 
+import contextlib
+import copy
 import json
 import os
 import signal
@@ -7,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -15,7 +18,7 @@
 from hitchtiller.codec import frames, resp
 
 ROOT = Path(__file__).parent.parent
-PATIENCE_S = 10.0
+PATIENCE_S, LIFE_S = 10.0, 40.0
 SETTINGS: dict[str, Any] = json.loads((ROOT / "examples" / "config.json").read_text())["settings"]
 
 
@@ -83,7 +86,10 @@
 class Gateway:
     """A gateway process, with the caches and the bus round it as listeners of the scenario's own."""
 
-    def __init__(self, **limits: Any) -> None:
+    def __init__(self, held: bool = False, **limits: Any) -> None:
+        """Start one; with `held` its listening socket is the platform's, here the scenario's."""
+        self.folder = tempfile.TemporaryDirectory()
+        self.held = socket.create_server(("127.0.0.1", 0)) if held else None
         self.caches = {name: socket.create_server(("127.0.0.1", 0)) for name in ("cache", "parent", "origin")}
         self.bus = socket.create_server(("127.0.0.1", 0))
         hosts = [
@@ -112,13 +118,32 @@
         }
         self.file = tempfile.NamedTemporaryFile("w", suffix=".json")  # noqa: SIM115  closed in stop
         self.configure(json.dumps(self.config))
-        env = {"BALANCER_CONFIG": self.file.name, "PATH": os.environ["PATH"]}
+        self.start()
+        self.expect_line("INFO n0 ready")
+
+    def start(self) -> None:
+        """Start the program; its addresses are in its log."""
+        env = {"BALANCER_CONFIG": self.file.name, "PATH": os.environ["PATH"], "TMPDIR": self.folder.name}
+        fds = [self.held.fileno()] if self.held else []
+        if fds:
+            env["BALANCER_LISTEN_FD"] = str(fds[0])
         command = [sys.executable, "-m", "hitchtiller"]
-        self.process = subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
+        self.process = subprocess.Popen(
+            command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True, pass_fds=fds
+        )
+        self.watch = threading.Timer(LIFE_S, self.process.kill)  # so that a line that never comes ends a test
+        self.watch.daemon = True
+        self.watch.start()
         self.lines: list[str] = []
         self.control = int(self.expect_line("control on").rpartition(":")[2])
         self.port = int(self.expect_line("serving on").split("serving on 127.0.0.1:")[1].split(",")[0])
 
+    def successor(self) -> "Gateway":
+        """Start the program once more beside this one."""
+        other = copy.copy(self)
+        other.start()
+        return other
+
     def configure(self, text: str) -> None:
         """Replace the configuration file's text."""
         Path(self.file.name).write_text(text)
@@ -160,13 +185,34 @@
         self.bus.settimeout(PATIENCE_S)
         return Party(self.bus.accept()[0], None)
 
+    def told_all(self) -> None:
+        """As the bus, tell whoever asks that there is nothing more, until this gateway is ready."""
+        self.bus.settimeout(0.1)
+        frame = (9).to_bytes(4, "big") + (1).to_bytes(8, "big") + b"\0"
+        parties = list[socket.socket]()
+        while self.call("ready") != ["+OK ready"]:
+            with contextlib.suppress(TimeoutError):
+                parties.append(self.bus.accept()[0])
+                parties[-1].sendall(frame)
+        for party in parties:
+            party.close()
+
     def terminate(self) -> None:
         self.process.send_signal(signal.SIGTERM)
 
-    def stop(self) -> None:
+    def kill(self) -> None:
+        self.watch.cancel()
         self.process.kill()
-        self.process.communicate()
+        self.process.wait()
+        if self.process.stderr:
+            self.process.stderr.close()
+
+    def stop(self) -> None:
+        self.kill()
         self.file.close()
+        self.folder.cleanup()
+        if self.held:
+            self.held.close()
         for listener in (*self.caches.values(), self.bus):
             listener.close()
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -15,9 +15,10 @@
     """A running gateway and a client of it."""
 
     limits: ClassVar[dict[str, int]] = {}
+    held = False
 
     def setUp(self) -> None:
-        self.gateway = Gateway(**self.limits)
+        self.gateway = Gateway(self.held, **self.limits)
         self.addCleanup(self.gateway.stop)
         self.client = self.gateway.client()
         self.addCleanup(self.client.close)
