Station caches are held out by call, kept in TMPDIR and heard as draining

Lines: the set stands between BusLink.apply and Engine.news; release() at the first byte and send() for sources check the state as for drains, so decide.py is unchanged. Giving back resets blame there (on_members, state not SERVING). Ruled out: two processes that change the file at once (a lock, and the file is read again under it).

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -18,6 +18,7 @@
 from hitchtiller.front.server import Front
 from hitchtiller.ops.calls import Calls
 from hitchtiller.ops.control import Control
+from hitchtiller.ops.holdouts import HoldOuts
 from hitchtiller.ops.sign import Sign
 from hitchtiller.ops.upgrade import Upgrade
 from hitchtiller.peers import Peers
@@ -73,7 +74,9 @@
     peers = Peers(sched, config.peer_listen, config.peers) if config.peer_listen else None
     tell = peers.tell if peers else lambda peer, note: None
     engine = Engine(Router(config.settings, config.seed), Clock(sched), back, tell)
-    bus = BusLink(sched, engine, config.bus, (config.zones, config.kinds))
+    folder = Path(os.environ["TMPDIR"]) if os.environ.get("TMPDIR") else None
+    holdouts = HoldOuts(folder, engine.news, config.settings.origin_kind)
+    bus = BusLink(sched, holdouts.news, config.bus, (config.zones, config.kinds))
     for event in config.known:
         bus.apply(event)
     front = Front(sched, engine, config.settings, clients, room(config.memory_mb, two=False))
@@ -82,12 +85,12 @@
         front.room = room(config.memory_mb, two)
         back.most = (config.sockets - clients - SPARE) // (2 if two else 1)
 
-    sign = Sign(Path(folder)) if (folder := os.environ.get("TMPDIR")) else None
+    sign = Sign(folder) if folder else None
     upgrade = Upgrade(sched, sign, front, bus.followed, share)
     front.barred = upgrade.unready
     host, port = front.listen(config.listen, config.listen_fd)
     if config.control:
-        at = Control(sched, Calls(front)).listen(config.control)
+        at = Control(sched, Calls(front, holdouts)).listen(config.control)
         logger.info("control on {}:{}", *at)
     sched.spawn(bus.run)
     if peers:
@@ -98,6 +101,7 @@
     sched.spawn(tidy, sched)
     logger.info("serving on {}:{}, {} sockets, {} MB", host, port, config.sockets, config.memory_mb)
     sched.spawn(upgrade.run)
+    sched.spawn(holdouts.run, sched)
     sched.run()
     if sign:
         sign.remove()
--- a/hitchtiller/bus.py
+++ b/hitchtiller/bus.py
@@ -1,12 +1,13 @@
 """Follows the event bus: from the last number it has, again and again."""
 
 import socket
+from collections.abc import Callable
 
 from loguru import logger
 
 from hitchtiller.codec.bus import BadBus, BusReader, Numbered
-from hitchtiller.engine import Engine
 from hitchtiller.log import ended
+from hitchtiller.news import Event
 from hitchtiller.sched import Closed, Scheduler, Stream, now_ms
 
 CONNECT_MS = 400.0
@@ -19,10 +20,14 @@
     """The gateway's subscription."""
 
     def __init__(
-        self, sched: Scheduler, engine: Engine, address: tuple[str, int], names: tuple[tuple[str, ...], ...]
+        self,
+        sched: Scheduler,
+        tell: Callable[[Event], None],
+        address: tuple[str, int],
+        names: tuple[tuple[str, ...], ...],
     ) -> None:
         """Follow the bus at an address; `names` are the zones and the kinds of the settings."""
-        self.sched, self.engine, self.address, self.names = sched, engine, address, names
+        self.sched, self.tell, self.address, self.names = sched, tell, address, names
         self.last = 0
         self.stream: Stream | None = None
         self.subscribed = self.told_all = False
@@ -38,7 +43,7 @@
         number, news = event
         if news is not None and number > self.last:
             try:
-                self.engine.news(news)
+                self.tell(news)
             except Exception:  # noqa: BLE001  one event must not end the subscription
                 logger.exception("event {} failed", number)
         self.last = max(self.last, number)
--- a/hitchtiller/ops/calls.py
+++ b/hitchtiller/ops/calls.py
@@ -4,19 +4,19 @@
 
 from hitchtiller.front.server import Front
 from hitchtiller.ops.control import CallError
-
-Call = Callable[[str], str]
+from hitchtiller.ops.holdouts import HoldOuts
 
 
 class Calls:
     """Reads a line as a call with its words and carries it out; each call may be made any number of times."""
 
-    def __init__(self, front: Front) -> None:
+    def __init__(self, front: Front, holdouts: HoldOuts) -> None:
         """Join the parts that calls go to."""
         self.front = front
         self.plain: dict[str, Callable[[], str]] = {
             "ready": self.ready, "drain": self.drain, "resume": self.resume}  # fmt: skip
-        self.named: dict[str, Callable[[str], str]] = {}
+        self.named: dict[str, Callable[[str], str]] = {
+            "disable-server": holdouts.disable, "enable-server": holdouts.enable}  # fmt: skip
 
     def __call__(self, line: str) -> str:
         """Carry a call out; CallError for what is none."""
--- /dev/null
+++ b/hitchtiller/ops/holdouts.py
@@ -0,0 +1,118 @@
+"""Station caches that operators left out: a set over the bus's list, shared by all processes of a gateway."""
+
+import contextlib
+import fcntl
+import json
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from pathlib import Path
+
+from loguru import logger
+
+from hitchtiller.news import Event, Listed, Topology
+from hitchtiller.ops.control import CallError
+from hitchtiller.sched import Scheduler
+
+LOOK_MS = 100.0  # the other process of an upgrade may have taken a call
+FILE, LOCK = "held-out.json", "held-out.lock"
+WORDS = ("SERVING", "DRAINING")  # as the bus tells it, as the decisions hear it
+
+
+class HoldOuts:
+    """Stands between the bus and the decisions, which hear of a held-out cache as of one that drains."""
+
+    def __init__(self, folder: Path | None, tell: Callable[[Event], None], origin: str | None = None) -> None:
+        """Start from what was kept in the folder; without one it is kept in memory alone."""
+        self.folder, self.tell, self.origin = folder, tell, origin
+        self.told: dict[str, Listed] = {}  # the list as the bus last told it
+        self.out: frozenset[str] = frozenset()
+        self.seen: tuple[int, ...] = ()  # which file was read last
+        self.look()
+        if self.out:
+            logger.info("held out since before: {}", ", ".join(sorted(self.out)))
+
+    def news(self, event: Event) -> None:
+        """Take an event of the bus."""
+        if isinstance(event, Topology):
+            if event.whole:
+                self.told.clear()
+            for host in event.hosts:
+                self.told[host.member.server] = host
+                if host.member.state == "DELETED":
+                    del self.told[host.member.server]
+            event = replace(event, hosts=tuple(map(self._shade, event.hosts)))
+        self.tell(event)
+
+    def _shade(self, host: Listed) -> Listed:
+        member = host.member
+        if member.server in self.out and member.state == WORDS[0]:  # whatever the bus says meanwhile
+            return replace(host, member=replace(member, state=WORDS[1]))
+        return host
+
+    def disable(self, server: str) -> str:
+        """Leave a cache out until it is given back."""
+        host = self.told.get(server)
+        if host is None and server not in self.out:
+            raise CallError(f"unknown station cache {server[:40]!r}")
+        if host and host.member.kind == self.origin:
+            raise CallError(f"{server} is the origin, which nothing can stand in for")
+        self._change(lambda out: out | {server})
+        return f"{server} is out"
+
+    def enable(self, server: str) -> str:
+        """Give a cache back as the bus last told of it."""
+        if server not in self.told and server not in self.out:
+            raise CallError(f"unknown station cache {server[:40]!r}")
+        self._change(lambda out: out - {server})
+        return f"{server} may serve"
+
+    def _change(self, change: Callable[[frozenset[str]], frozenset[str]]) -> None:
+        """Change the set, and keep it before anybody is told that it has changed."""
+        if self.folder is None:
+            return self._adopt(change(self.out))
+        try:
+            with (self.folder / LOCK).open("w") as lock:
+                fcntl.flock(lock, fcntl.LOCK_EX)  # guards against two processes that change it at once
+                self.look()
+                out = change(self.out)
+                if out != self.out:
+                    fresh = self.folder / f"{FILE}.new"
+                    fresh.write_text(json.dumps({"out": sorted(out)}))
+                    fresh.rename(self.folder / FILE)
+        except OSError as error:
+            raise CallError(f"can't be kept: {error.strerror}") from None
+        self._adopt(out)
+
+    def look(self) -> None:
+        """Read the file if it is another than before; a damaged one changes nothing."""
+        if self.folder is None:
+            return
+        path = self.folder / FILE
+        with contextlib.suppress(FileNotFoundError):
+            stat = path.stat()
+            seen = (stat.st_ino, stat.st_mtime_ns, stat.st_size)
+            if seen == self.seen:
+                return
+            self.seen = seen
+            try:
+                out = json.loads(path.read_text())["out"]
+                if not isinstance(out, list) or not all(isinstance(server, str) for server in out):
+                    raise ValueError("no list of ids")
+            except (ValueError, TypeError, KeyError) as error:
+                logger.warning("hold-outs not read, those in force stay: {!r}", error)
+                return
+            self._adopt(frozenset(out))
+
+    def _adopt(self, out: Iterable[str]) -> None:
+        """Tell the decisions what has changed."""
+        before, self.out = self.out, frozenset(out)
+        for server in sorted(before ^ self.out):
+            logger.info("{} {}", server, "held out" if server in self.out else "given back")
+            if host := self.told.get(server):
+                self.tell(Topology((self._shade(host),), whole=False))
+
+    def run(self, sched: Scheduler) -> None:
+        """Look again and again for what another process was told."""
+        while self.folder:
+            sched.sleep(LOOK_MS)
+            self.look()
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -3,13 +3,22 @@
 import socket
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 
+from conftest import BASE, FLEET
 from scenario import answer, wait
+from test_engine import Back, Later
 from test_sockets import Scenario
 
+from hitchtiller import interface as api
 from hitchtiller.codec import frames
-from hitchtiller.ops.control import LONGEST, MOST_CALLERS
+from hitchtiller.decide import Router
+from hitchtiller.engine import Engine
+from hitchtiller.exchange import Ask, Attempt
+from hitchtiller.news import Listed, Topology
+from hitchtiller.ops.control import LONGEST, MOST_CALLERS, CallError
+from hitchtiller.ops.holdouts import FILE, HoldOuts
 from hitchtiller.ops.sign import READY, STARTING, Sign
 from hitchtiller.peers import Peers
 from hitchtiller.sched import Scheduler
@@ -102,6 +111,90 @@
         self.assertEqual(self.gateway.process.wait(10.0), 0)
 
 
+class HeldOut(unittest.TestCase):
+    """A set over the bus's list, heard by the decisions as draining."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.clock, self.back = Later(), Back()
+        self.engine = Engine(Router(BASE, 7), self.clock, self.back, lambda peer, note: None)
+        self.holdouts = HoldOuts(self.folder, self.engine.news, "origin")
+        self.news(*FLEET, whole=True)
+        self.member = FLEET[0]
+
+    def news(self, *members: api.Member, whole: bool = False) -> None:
+        self.holdouts.news(Topology(tuple(Listed(m, ("127.0.0.1", 1)) for m in members), whole))
+
+    def state(self, server: str = "c0") -> str:
+        return self.engine.router.nodes[server].m.state
+
+    def ask(self, number: int) -> Attempt:
+        ask = Ask(f"{number:016x}", "small", f"{number:016x}", number, self.clock.now + 900.0, size_kb=50.0)
+        self.engine.take(ask, lambda answer: None)
+        return self.back.sent[-1]
+
+    def test_it_stays_out_whatever_the_bus_says_until_one_call_back(self) -> None:
+        for _ in range(2):
+            self.holdouts.disable("c0")
+        gone, back = replace(self.member, state="DELETED"), replace(self.member, started_ms=900.0)
+        for news, whole in (((self.member,), False), (FLEET, True), ((gone,), False), ((back,), False)):
+            self.news(*news, whole=whole)
+            if news != (gone,):
+                self.assertEqual(self.state(), "DRAINING")
+        self.assertFalse([number for number in range(60) if self.ask(number).get.server == "c0"])
+        self.holdouts.enable("c0")
+        self.assertEqual(self.engine.router.nodes["c0"].m, back)  # cold: it started meanwhile
+
+    def test_sources_and_unwritten_jobs_are_barred_too(self) -> None:
+        for name in ("server", "source"):
+            attempt = self.ask(100)
+            self.holdouts.disable(getattr(attempt.get, name))
+            self.assertIsNone(attempt.clear(attempt))
+            self.engine.leave(attempt.exchange)
+
+    def test_old_blame_does_not_keep_out_what_is_given_back(self) -> None:
+        node = self.engine.router.nodes["c0"]
+        node.blame, node.out_until, node.trial = 0.9, self.clock.now + 60_000.0, True
+        self.holdouts.disable("c0")
+        self.holdouts.enable("c0")
+        self.assertTrue(self.engine.router.usable(self.engine.router.nodes["c0"]))
+
+    def test_unknown_ids_and_the_origin_are_told_apart_from_those_that_are_gone(self) -> None:
+        for call in (self.holdouts.disable, self.holdouts.enable):
+            with self.assertRaisesRegex(CallError, "unknown"):
+                call("c9")
+        with self.assertRaisesRegex(CallError, "origin"):
+            self.holdouts.disable("o")
+        self.holdouts.disable("c0")
+        self.news(replace(self.member, state="DELETED"))
+        self.holdouts.enable("c0")
+        self.news(self.member)
+        self.assertEqual(self.state(), "SERVING")
+
+    def test_it_is_kept_for_the_next_process_and_followed_by_the_one_beside(self) -> None:
+        other = HoldOuts(self.folder, lambda event: None)
+        self.holdouts.disable("c0")
+        self.assertEqual(HoldOuts(self.folder, lambda event: None).out, {"c0"})
+        other.news(Topology((Listed(self.member, ("127.0.0.1", 1)),), whole=True))
+        other.disable("c0")  # it has not looked yet
+        other.enable("c0")
+        self.holdouts.look()
+        self.assertEqual(self.state(), "SERVING")
+
+    def test_a_damaged_file_changes_nothing_and_what_cannot_be_kept_is_no_yes(self) -> None:
+        self.holdouts.disable("c0")
+        for text in ("{", "[]", '{"out": [1]}'):
+            (self.folder / FILE).write_text(text)
+            self.holdouts.look()
+            self.assertEqual(self.holdouts.out, {"c0"})
+        self.holdouts.folder = self.folder / "gone"
+        with self.assertRaisesRegex(CallError, "kept"):
+            self.holdouts.disable("c1")
+        self.assertEqual(self.state("c1"), "SERVING")
+
+
 class Signs(unittest.TestCase):
     def test_a_live_process_is_told_from_one_that_has_ended(self) -> None:
         with tempfile.TemporaryDirectory() as name:
@@ -132,9 +225,9 @@
 class Upgrade(Scenario):
     held = True
 
-    def begin(self) -> None:
+    def begin(self, server: str = "cache") -> None:
         """Start a new version beside the old one, with a request in hand there."""
-        self.cache, self.name = self.opened(m="100000", d="5000")
+        self.cache, self.name = self.opened(server=server, m="100000", d="5000")
         self.new = self.gateway.successor()
         self.addCleanup(self.new.kill)
 
@@ -176,6 +269,19 @@
         self.assertEqual(self.cache.expect_pull()[0], b"f" * 16)
         late.close()
 
+    def test_what_was_held_out_stays_out_of_the_new_one_and_either_takes_the_call_back(self) -> None:
+        self.assertRegex(self.gateway.call("disable-server s-00000009")[0], "^-ERR unknown")
+        self.assertRegex(self.gateway.call("disable-server s-00000000")[0], "^.OK")
+        self.begin("parent")  # straight up: the zone has no other cache
+        self.follow()
+        late = self.gateway.client().ask(1, i="f" * 16)
+        self.gateway.server("parent").expect_pull()
+        self.gateway.call("enable-server s-00000000")  # the old one's control
+        self.new.expect_line("s-00000000 given back")
+        late.ask(2, i="e" * 16)
+        self.gateway.server().expect_pull()
+        late.close()
+
     def test_sigterm_after_the_handing_over_answers_what_is_in_hand(self) -> None:
         self.begin()
         self.follow()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -23,10 +23,10 @@
         self.client = self.gateway.client()
         self.addCleanup(self.client.close)
 
-    def opened(self, stream: int = 1, **fields: str) -> tuple[Party, bytes]:
+    def opened(self, stream: int = 1, server: str = "cache", **fields: str) -> tuple[Party, bytes]:
         """Ask, and take the PULL that follows: the cache's connection and the request's id."""
         self.client.ask(stream, **fields)
-        cache = self.gateway.server()
+        cache = self.gateway.server(server)
         self.addCleanup(cache.close)
         return cache, cache.expect_pull()[0]
 
