Figures by show-stat: counters where things end, levels read when asked

Lines: Engine.finish and the two early answers of Client._request count a class's end; Link._write counts an attempt when its last byte is with the machine (not in Pull.command, where it has only begun). The engine's Counts are gone.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -39,8 +39,11 @@
     while True:
         sched.sleep(REPORT_MS)
         logger.info(
-            "{} open={} clients={} sockets={} lag_ms={:.1f}",
-            engine.counts,
+            "taken={} {} left={} attempts={} open={} clients={} sockets={} lag_ms={:.1f}",
+            engine.stats.taken,
+            " ".join(f"{kind}={count}" for kind, count in engine.stats.total().items()),
+            engine.stats.left,
+            engine.stats.attempts,
             len(engine.open),
             len(front.clients),
             Stream.opened,
@@ -90,7 +93,7 @@
     front.barred = upgrade.unready
     host, port = front.listen(config.listen, config.listen_fd)
     if config.control:
-        at = Control(sched, Calls(front, holdouts)).listen(config.control)
+        at = Control(sched, Calls(front, holdouts, engine.stats)).listen(config.control)
         logger.info("control on {}:{}", *at)
     sched.spawn(bus.run)
     if peers:
--- a/hitchtiller/back/jobs.py
+++ b/hitchtiller/back/jobs.py
@@ -32,6 +32,9 @@
     def command(self) -> bytes | None:
         """Write it, at its first byte; None if it may not go any more."""
 
+    def sent(self) -> None:
+        """Hear that its last byte went out."""
+
     def answered(self, word: str, fields: dict[str, str], body: bytes) -> None:
         """Take its answer; resp.BadResp for one that no server of ours gives."""
 
@@ -74,6 +77,10 @@
             fields += f",inm={ask.have}"
         return resp.write_command(b"PULL", self.name, fields.encode(), ask.body)
 
+    def sent(self) -> None:
+        """Tell that it was written whole."""
+        self.attempt.on_sent()
+
     def answered(self, word: str, fields: dict[str, str], body: bytes) -> None:
         """End the attempt in the decisions' words."""
         status, ask = STATUS.get(word, ""), self.attempt.exchange.ask
@@ -107,6 +114,9 @@
         self.due_ms = now_ms() + METER_MS
         return resp.write_command(b"METER", self.name)
 
+    def sent(self) -> None:
+        """Count nothing: a probe is no attempt."""
+
     def answered(self, word: str, fields: dict[str, str], body: bytes) -> None:
         """Report what came."""
         self.report("done" if word == "FIT" else "err", resp.read_report(fields.get("rep", "")))
--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -173,8 +173,10 @@
             data = job if isinstance(job, bytes) else self._begin(job)
             if data is not None:
                 self.writing = (job, self.used_ms)
-                self.stream.write_whole(data)
+                whole = self.stream.write_whole(data)
                 self.writing = None
+                if whole and not self.spoiled and not isinstance(job, bytes):
+                    job.sent()
 
     def _begin(self, job: Job) -> bytes | None:
         """Take a job's command; from here on it is owed an answer."""
--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
 from itertools import count
 from typing import Protocol
@@ -13,6 +12,7 @@
 from hitchtiller.decide import Router
 from hitchtiller.exchange import FAILED, REFUSED, SERVED, Answer, Ask, Attempt, Clearance, Ending, Exchange
 from hitchtiller.news import Ban, Event, Topology
+from hitchtiller.ops.stats import Stats
 
 
 class Timer(Protocol):
@@ -48,17 +48,6 @@
         """Take the list's news; the call that it gives ends what was out on processes that are gone."""
 
 
-@dataclass(slots=True)
-class Counts:
-    """What the log's regular line tells."""
-
-    taken: int = 0
-    served: int = 0
-    refused: int = 0
-    failed: int = 0
-    left: int = 0
-
-
 class Engine:
     """The events of one gateway, in order, into `Router.handle`; the actions out."""
 
@@ -76,7 +65,12 @@
         self.numbers = count(1)
         self.events: deque[api.Event] = deque()
         self.busy = False
-        self.counts = Counts()
+        self.stats = Stats(router.s.classes)
+        self.stats.levels = {
+            "in_flight": lambda: len(self.open),
+            "station_caches_known": lambda: len(router.nodes),
+            "station_caches_excluded": lambda: sum(not router.usable(n) for n in router.nodes.values()),
+        }
 
     # Client side
 
@@ -89,7 +83,7 @@
         exchange = Exchange(next(self.numbers), ask, deliver)
         self.open[exchange.number] = exchange
         self.ids.add(ask.id.lower())
-        self.counts.taken += 1
+        self.stats.taken += 1
         delay = ask.deadline_ms - self.clock.now_ms()
         exchange.guard = self.clock.later(delay, partial(self.expire, exchange)).cancel
         self.give(
@@ -102,7 +96,7 @@
     def leave(self, exchange: Exchange) -> None:
         """Nobody waits for it any more: stop its attempts."""
         if exchange.close():
-            self.counts.left += 1
+            self.stats.left += 1
             self.abandon(exchange)
 
     def expire(self, exchange: Exchange) -> None:
@@ -135,7 +129,7 @@
         """Give the final answer, once."""
         self._drop(exchange)
         if exchange.finish(answer):
-            setattr(self.counts, answer.kind, getattr(self.counts, answer.kind) + 1)
+            self.stats.end(exchange.ask.class_name, answer.kind)
         exchange.settle()
 
     # News
@@ -211,7 +205,7 @@
         if exchange is None:
             return
         now = self.clock.now_ms()
-        attempt = Attempt(exchange, get, now, self.clear, self.ended)
+        attempt = Attempt(exchange, get, now, self.clear, self.ended, self.sent)
         if 0.0 < get.timeout_ms < exchange.ask.deadline_ms - now - 1.0:  # else the deadline ends it
             timer = self.clock.later(get.timeout_ms, partial(self.cancel, attempt, "etimedout"))
             attempt.timeout = timer.cancel
@@ -229,6 +223,10 @@
             return None
         return None if cap is None else Clearance(cap, attempt.exchange.ask.deadline_ms - now)
 
+    def sent(self) -> None:
+        """Count an attempt that was written whole."""
+        self.stats.attempts += 1
+
     def cancel(self, attempt: Attempt, word: str) -> None:
         """Give an attempt up."""
         if not attempt.ended:
--- a/hitchtiller/exchange.py
+++ b/hitchtiller/exchange.py
@@ -62,7 +62,8 @@
     """One send of an exchange; it ends once, whoever says so first."""
 
     __slots__ = (
-        "clear", "ended", "exchange", "get", "on_end", "place", "sent_ms", "shot", "timeout", "written"
+        "clear", "ended", "exchange", "get", "on_end", "on_sent", "place", "sent_ms", "shot", "timeout",
+        "written",
     )  # fmt: skip
 
     def __init__(
@@ -72,11 +73,12 @@
         sent_ms: float,
         clear: Callable[["Attempt"], Clearance | None],
         on_end: Callable[["Attempt", Ending], None],
+        on_sent: Callable[[], None],
     ) -> None:
-        """Make the next attempt; `clear` is asked again before the first byte."""
+        """Make the next attempt; `clear` is asked before the first byte, `on_sent` hears of the last."""
         self.exchange, self.get, self.sent_ms = exchange, get, sent_ms
         self.shot = len(exchange.attempts)
-        self.clear, self.on_end = clear, on_end
+        self.clear, self.on_end, self.on_sent = clear, on_end, on_sent
         self.timeout: Callable[[], None] | None = None  # takes its timer back
         self.place: Any = None  # where the server side put it
         self.written = False  # its first byte went out: from here it may run
--- a/hitchtiller/front/asks.py
+++ b/hitchtiller/front/asks.py
@@ -22,7 +22,9 @@
 
 
 class BadAsk(Exception):
-    """A well-framed request that can't be used."""
+    """A well-framed request that can't be used; its class is told where it has one."""
+
+    class_name = ""
 
 
 def _whole(fields: Mapping[str, str], name: str, default: int, most: int) -> int:
@@ -57,7 +59,15 @@
     cls = settings.classes.get(fields.get("c", ""))
     if cls is None:
         raise BadAsk(f"class {fields.get('c', '')[:20]!r}")
-    if len(payload) - end > MOST_BODY:
+    try:
+        return _read(fields, payload[end:], cls, arrived_ms)
+    except BadAsk as error:
+        error.class_name = cls.name
+        raise
+
+
+def _read(fields: Mapping[str, str], body: bytes, cls: api.ClassSettings, arrived_ms: float) -> Ask:
+    if len(body) > MOST_BODY:
         raise BadAsk("body too long")
     wait = min(_number(fields, "d", LONGEST_MS), cls.deadline_ms or LONGEST_MS)  # nobody waits longer
     if wait <= 0.0:
@@ -72,7 +82,7 @@
         part=_whole(fields, "piece", 0, 0xFFFF),
         group=_whole(fields, "lot", -1, 255),
         size_kb=_number(fields, "m", LARGEST_KB, "0"),
-        body=payload[end:],
+        body=body,
         dedupe=_text(fields, "k", TOKEN, needed=cls.effect == "by_key"),
         have=_text(fields, "ver", TOKEN, needed=False),
     )
--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -142,17 +142,21 @@
         stream = frame.stream
         if stream in self.open:  # guards against two answers under one number
             raise frames.BadFrame(f"stream {stream} is open")
+        stats = self.front.engine.stats
         try:
             ask = read_ask(frame.payload, self.front.settings, arrived)
-            if stream == 0 or not self.numbers.use(stream):
-                raise BadAsk(f"stream {stream}")
-            if self.front.engine.has(ask.id):  # guards against one id twice at a cache
-                raise BadAsk(f"id {ask.id} is open")
-        except BadAsk:
+        except BadAsk as error:
+            stats.end(error.class_name, FAILED)
             self._say(stream, Answer(FAILED))  # never sent on
             return
+        fresh = stream != 0 and self.numbers.use(stream)
+        if not fresh or self.front.engine.has(ask.id):  # guards against one id twice at a cache
+            stats.end(ask.class_name, FAILED)
+            self._say(stream, Answer(FAILED))
+            return
         self.taken += 1
         if len(self.open) >= MOST_OPEN or not self.front.takes(arrived):
+            stats.end(ask.class_name, REFUSED)
             self._say(stream, Answer(REFUSED, wait_ms=self.front.settings.max_retry_after_ms))
             return
         exchange = self.front.engine.take(ask, partial(self._answer, stream))
--- a/hitchtiller/ops/calls.py
+++ b/hitchtiller/ops/calls.py
@@ -5,18 +5,25 @@
 from hitchtiller.front.server import Front
 from hitchtiller.ops.control import CallError
 from hitchtiller.ops.holdouts import HoldOuts
+from hitchtiller.ops.stats import Stats
 
 
 class Calls:
     """Reads a line as a call with its words and carries it out; each call may be made any number of times."""
 
-    def __init__(self, front: Front, holdouts: HoldOuts) -> None:
+    def __init__(self, front: Front, holdouts: HoldOuts, stats: Stats) -> None:
         """Join the parts that calls go to."""
-        self.front = front
+        self.front, self.stats = front, stats
         self.plain: dict[str, Callable[[], str]] = {
-            "ready": self.ready, "drain": self.drain, "resume": self.resume}  # fmt: skip
+            "ready": self.ready,
+            "show-stat": self.show,
+            "drain": self.drain,
+            "resume": self.resume,
+        }
         self.named: dict[str, Callable[[str], str]] = {
-            "disable-server": holdouts.disable, "enable-server": holdouts.enable}  # fmt: skip
+            "disable-server": holdouts.disable,
+            "enable-server": holdouts.enable,
+        }
 
     def __call__(self, line: str) -> str:
         """Carry a call out; CallError for what is none."""
@@ -37,6 +44,10 @@
             raise CallError(reason)
         return "ready"
 
+    def show(self) -> str:
+        """Give all figures, then a line with a full stop."""
+        return "\n".join(["figures", *self.stats.lines(), "."])
+
     def drain(self) -> str:
         """Empty the gateway; one that is stopping empties itself."""
         self.front.leave.drain()
--- /dev/null
+++ b/hitchtiller/ops/stats.py
@@ -0,0 +1,34 @@
+"""The figures that operators read: counters in one place, and levels that are read when asked for."""
+
+from collections.abc import Callable, Iterable
+
+PREFIX = "svc"
+ENDS = ("served", "refused", "failed")
+
+
+class Stats:
+    """Counts from 0 in each process; every class is there from the start."""
+
+    def __init__(self, classes: Iterable[str]) -> None:
+        """Start at 0."""
+        self.ends = {name: dict.fromkeys(ENDS, 0) for name in classes}
+        self.taken = self.left = self.attempts = 0
+        self.levels: dict[str, Callable[[], int]] = {}  # read when asked: steps may be missed
+
+    def end(self, class_name: str, kind: str) -> None:
+        """Count a final answer; a class that the settings don't have has no counter."""
+        if ends := self.ends.get(class_name):
+            ends[kind] += 1
+
+    def total(self) -> dict[str, int]:
+        """Sum the ends over the classes, for the log's regular line."""
+        return {kind: sum(ends[kind] for ends in self.ends.values()) for kind in ENDS}
+
+    def lines(self) -> list[str]:
+        """Write all figures, a line each."""
+        counted = {f"{kind}.{name}": n for name, ends in self.ends.items() for kind, n in ends.items()}
+        counted["attempts"] = self.attempts
+        levels = {name: read() for name, read in self.levels.items()}
+        return [f"{PREFIX}.{name}:{count}|c" for name, count in counted.items()] + [
+            f"{PREFIX}.{name}:{level}|g" for name, level in levels.items()
+        ]
