--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -266,7 +266,8 @@
     def test_the_program_does_not_load_what_it_has_no_use_for(self) -> None:
         """Two processes of 15 MB at their start crashed a gateway of 32 MB."""
         code = "import sys, hitchtiller.__main__; print({'asyncio', 'ssl'} & {*sys.modules}); import asyncio"
-        done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+        command = [sys.executable, "-c", code]
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=True)
         self.assertEqual(done.stdout.strip(), "set()")
 
     def test_buffers_of_two_fit_beside_what_both_hold(self) -> None:
