--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -57,6 +57,15 @@
     return int(max(least, (memory_mb - own) / (4.0 if two else 2.0)) * 1e6)
 
 
+def descriptors(limit: int, two: bool, younger: bool) -> tuple[int, int]:
+    """Give how many clients and how many connections to servers a process may hold."""
+    clients = limit // 3 + EXTRA
+    if not two:
+        return clients, limit - clients - SPARE
+    half = clients // 2  # guards two processes' sum: silent clients may hold the older one's whole third
+    return half if younger else clients, (limit - clients - half - SPARE) // 2
+
+
 def tidy(sched: Scheduler) -> None:
     """Free the few cycles that exceptions leave: what is new each second, all of it once a minute."""
     gc.freeze()
@@ -70,9 +79,9 @@
 def serve(config: Config) -> None:
     """Run one gateway until it is told to stop."""
     sched = Scheduler()
-    clients = config.sockets // 3 + EXTRA
+    clients, links = descriptors(config.sockets, two=False, younger=False)
     times = (config.connect_ms, config.idle_ms)
-    back = Upstreams(sched, times, config.streams, config.sockets - clients - SPARE)
+    back = Upstreams(sched, times, config.streams, links)
     peers = Peers(sched, config.peer_listen, config.peers) if config.peer_listen else None
     tell = peers.tell if peers else lambda peer, note: None
     engine = Engine(Router(config.settings, config.seed), Clock(sched), back, tell)
@@ -83,9 +92,9 @@
         bus.apply(event)
     front = Front(sched, engine, config.settings, clients, room(config.memory_mb, two=False))
 
-    def share(two: bool) -> None:
+    def share(two: bool, younger: bool) -> None:
         front.room = room(config.memory_mb, two)
-        back.most = (config.sockets - clients - SPARE) // (2 if two else 1)
+        front.most, back.most = descriptors(config.sockets, two, younger)
 
     sign = Sign(folder) if folder else None
     upgrade = Upgrade(sched, sign, front, bus.followed, share)
@@ -99,7 +108,7 @@
         sched.spawn(peers.run, engine)
     sched.spawn(report, sched, engine, front)
     reload = Reload(config, os.environ, bus.move)
-    Signals(sched, {signal.SIGTERM: front.leave.stop, signal.SIGINT: front.leave.stop, signal.SIGHUP: reload})
+    Signals(sched, {signal.SIGTERM: upgrade.stop, signal.SIGINT: upgrade.stop, signal.SIGHUP: reload})
     sched.spawn(tidy, sched)
     logger.info("serving on {}:{}, {} sockets, {} MB", host, port, config.sockets, config.memory_mb)
     sched.spawn(upgrade.run)
--- a/hitchtiller/ops/upgrade.py
+++ b/hitchtiller/ops/upgrade.py
@@ -19,9 +19,11 @@
         sign: Sign | None,
         front: Front,
         followed: Callable[[bool], bool],
-        share: Callable[[bool], None],
+        share: Callable[[bool, bool], None],
     ) -> None:
-        """Take over from an older one, if there is one; `share` sets the bounds for one process or two.
+        """Take over from an older one, if there is one.
+
+        `share` sets the bounds: for one process or for two, and then for the younger or the older of them.
 
         `followed` tells whether the bus is followed, or also (with True) that it has told all there was.
         """
@@ -34,7 +36,7 @@
         if self.older():
             logger.info("takes over from {}", ", ".join(self.older()))
             front.accepting = False  # it would answer no list, and the older one serves
-            share(True)
+            share(True, True)
 
     def older(self) -> list[str]:
         """Name the live processes that started before this one."""
@@ -57,13 +59,18 @@
             self.look()
             self.sched.sleep(LOOK_MS if self.ready else START_MS)
 
+    def stop(self) -> None:
+        """Leave; guards against accepting on beside a successor that was ready a moment before SIGTERM."""
+        self.look()
+        self.front.leave.stop()
+
     def look(self) -> None:
         """See who lives, and act on a change."""
         before = bool(self.others)
         if self.sign:
             self.others = self.sign.others()
         if before != bool(self.others):
-            self.share(bool(self.others))
+            self.share(bool(self.others), bool(self.older()))
         if not self.ready and not self.front.unready():
             self.ready = True
             if self.sign:
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -7,6 +7,7 @@
 import unittest
 from dataclasses import replace
 from pathlib import Path
+from unittest.mock import patch
 
 from conftest import BASE, FLEET
 from scenario import ROOT, answer, wait
@@ -14,16 +15,18 @@
 from test_sockets import Scenario
 
 from hitchtiller import interface as api
-from hitchtiller.__main__ import room
+from hitchtiller.__main__ import descriptors, room
 from hitchtiller.codec import frames
 from hitchtiller.decide import Router
 from hitchtiller.engine import Engine
 from hitchtiller.exchange import Ask, Attempt
+from hitchtiller.front.server import Front
 from hitchtiller.news import Listed, Topology
 from hitchtiller.ops.control import LONGEST, MOST_CALLERS, CallError
 from hitchtiller.ops.holdouts import FILE, HoldOuts
 from hitchtiller.ops.sign import READY, STARTING, Sign
 from hitchtiller.ops.stats import ENDS
+from hitchtiller.ops.upgrade import Upgrade as UpgradeOf
 from hitchtiller.peers import Peers
 from hitchtiller.sched import Scheduler
 
@@ -270,6 +273,13 @@
         done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=True)
         self.assertEqual(done.stdout.strip(), "set()")
 
+    def test_descriptors_of_two_fit_with_clients_that_hold_all_they_may(self) -> None:
+        """Each held a third and the rest for servers: 540 of 384."""
+        for limit in (256, 384, 1024):
+            old, new = descriptors(limit, True, False), descriptors(limit, True, True)
+            self.assertLessEqual(sum(old) + sum(new) + 2 * 24, limit)
+            self.assertLessEqual(max(old[0], new[0]), descriptors(limit, False, False)[0])
+
     def test_buffers_of_two_fit_beside_what_both_hold(self) -> None:
         for memory in (32.0, 80.0, 192.0):
             alone, two = room(memory, two=False), room(memory, two=True)
@@ -322,6 +332,22 @@
         self.assertEqual(self.cache.expect_pull()[0], b"f" * 16)
         late.close()
 
+    def test_sigterm_just_after_the_new_ones_yes_hands_over_first(self) -> None:
+        """SIGTERM came 10 ms after the yes, before the old one's next look, and both accepted for 0.45 s."""
+        with tempfile.TemporaryDirectory() as name:
+            engine = Engine(Router(BASE, 7), Later(), Back(), lambda *_: None)
+            front = Front(Scheduler(), engine, BASE, 4, 1000)
+            self.addCleanup(front.listener.close)
+            old = Sign(Path(name))
+            upgrade = UpgradeOf(front.sched, old, front, lambda whole: True, lambda two, younger: None)
+            new = Sign(Path(name))
+            new.say(READY)
+            with patch.object(front.leave, "stop"):
+                upgrade.stop()
+            self.assertFalse(front.accepting)
+            old.remove()
+            new.remove()
+
     def test_what_was_held_out_stays_out_of_the_new_one_and_either_takes_the_call_back(self) -> None:
         self.assertRegex(self.gateway.call("disable-server s-00000009")[0], "^-ERR unknown")
         self.assertRegex(self.gateway.call("disable-server s-00000000")[0], "^.OK")
