What a client owes of a frame begins anew as it grows, for 6 s at most

Seen: the 2.2 s for half a frame ran from its first byte, so a request in slow pieces was cut though it grew (client.py, _take).

--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -17,7 +17,8 @@
 MOST_HOLES = 64  # stream numbers passed over that may still come
 PAUSE_AT = 1_000_000  # bytes that a client has not taken, from which nothing more is read of it
 AT_ONCE = 16  # frames of one connection in a turn: hundreds at once must not hold up the others
-OWED_MS = 2_200.0  # for a first whole frame, or the rest of one; a large body comes in less
+OWED_MS = 2_200.0  # for a first whole frame, or the rest of one
+GROWTH, WHOLE_MS = 32, 6_000.0  # bytes with which that begins anew; until when all of a frame has to be here
 QUIET_MS = 200.0  # without a word, from which a connection is let go: requests may cross frame 3
 PROBE_MS = 1_000.0  # the front's probes come ten times a second, and may keep theirs
 LINGER_MS = 1_500.0  # what is unread at a close is read and dropped for so long
@@ -58,6 +59,7 @@
         self.probed_ms = -math.inf  # when it asked last whether the gateway is ready
         self.arrived_ms = self.seen_ms = now_ms()  # when one came last
         self.owed_ms: float | None = self.seen_ms  # since when the client owes the rest of a frame
+        self.half_ms, self.half = self.seen_ms, 0  # when that frame began, and what was here at `owed_ms`
         self.until_ms = math.inf  # the end of a close that lingers
 
     def run(self) -> None:
@@ -101,9 +103,13 @@
         except frames.BadFrame:
             reader.buffer.clear()
             self.refuse_all("bad-frame")
-        self.stream.keep(len(reader.buffer))
-        if reader.buffer and self.owed_ms is None:
-            self.owed_ms = begun
+        half = len(reader.buffer)
+        self.stream.keep(half)
+        if half and self.owed_ms is None:
+            self.half_ms = begun
+        # guards requests in pieces: those that took longer than the 2.2 s were cut, though they grew
+        if half and (self.owed_ms is None or half >= self.half + GROWTH):
+            self.owed_ms, self.half = begun, half
 
     def refuse_all(self, code: str) -> None:
         """End a connection that can't be read on: tell so, and end all that is open on it at once."""
@@ -116,7 +122,7 @@
         """Tell why a client should wait no longer, if so."""
         if self.closing:
             return self.closing if now > self.until_ms else ""
-        if self.owed_ms is None or now - self.owed_ms <= OWED_MS:
+        if self.owed_ms is None or (now - self.owed_ms <= OWED_MS and now - self.half_ms <= WHOLE_MS):
             return ""
         return "half" if self.asked else "unasked"
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,12 +1,15 @@
 """The client side's limits, without a network."""
 
+import socket
 import unittest
 from typing import Any
+from unittest.mock import patch
 
 from conftest import BASE
 
 from hitchtiller.codec import frames
 from hitchtiller.front.asks import read_ask
+from hitchtiller.front.client import Client
 from hitchtiller.front.server import Front
 from hitchtiller.sched import Scheduler, Stream, now_ms
 
@@ -20,6 +23,34 @@
             self.assertEqual(ask.deadline_ms, min(until, 1000.0 + 3000.0 - 60.0))
 
 
+class Pieces(unittest.TestCase):
+    def setUp(self) -> None:
+        engine: Any = None
+        sched = Scheduler()
+        front = Front(sched, engine, BASE, 4, 1000)
+        self.addCleanup(front.listener.close)
+        server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(server.close)
+        stream = Stream(sched, socket.create_connection(server.getsockname()))
+        self.addCleanup(stream.close, "end")
+        self.client, self.reader, self.begun = Client(front, stream, "peer"), frames.FrameReader(), now_ms()
+
+    def feed(self, size: int, at: float) -> str:
+        """Give the next bytes of a long frame; tells why it would have been closed just before."""
+        with patch("hitchtiller.front.client.now_ms", lambda: self.begun + at):
+            why = self.client.overdue(self.begun + at)
+            first = not self.reader.buffer
+            self.client._take(self.reader, (b"\0\0\x80\0" if first else b"") + bytes(size))
+        return why
+
+    def test_a_frame_that_grows_is_not_cut_at_2_s(self) -> None:
+        self.assertEqual([self.feed(100, at) for at in (100.0, 2_000.0, 4_000.0, 5_500.0)], [""] * 4)
+        self.assertEqual(self.client.overdue(self.begun + 6_300.0), "unasked")  # but it ends
+
+    def test_one_that_trickles_is(self) -> None:
+        self.assertEqual([self.feed(1, at) for at in (100.0, 1_200.0, 2_500.0)], ["", "", "unasked"])
+
+
 class Limits(unittest.TestCase):
     def setUp(self) -> None:
         engine: Any = None
