Requests in pieces are awaited before the process leaves

Lines: Leave._busy and Client.settled knew open requests and half frames of clients that had asked before, not the first request of a connection that is half here.

--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -188,8 +188,7 @@
         """Tell whether it may be closed in a drain: nothing open, nothing unread, no word for a while."""
         if not self.idle() or now - self.probed_ms <= PROBE_MS:
             return False
-        half = self.asked and self.owed_ms is not None
-        return last or (not half and now - self.seen_ms > QUIET_MS)
+        return last or (not self.stream.kept and now - self.seen_ms > QUIET_MS)
 
     def close_when_done(self, code: str) -> None:
         """Close after the answers in hand: those requests were taken and must not be lost."""
--- a/hitchtiller/front/leave.py
+++ b/hitchtiller/front/leave.py
@@ -118,4 +118,6 @@
         self.sched.stopped = True
 
     def _busy(self) -> bool:
-        return any(client.open or client.stream.size for client in self.front.clients)
+        """Tell whether answers are owed; guards requests in pieces too, which were cut in their middle."""
+        clients = self.front.clients
+        return any(client.open or client.stream.size or client.stream.kept for client in clients)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -110,6 +110,24 @@
             pass
         late.close()
 
+    def test_a_request_in_pieces_is_awaited_by_sigterm_and_by_a_drain(self) -> None:
+        """The rest of 17 requests came to closed connections, on a day of slow pieces and new versions."""
+        payload = frames.write_fields({"c": "files", "i": "a" * 16, "d": "2000", "o": "b" * 16, "m": "10"})
+        whole = frames.head(frames.REQUEST, 1, len(payload)) + payload
+        for leave in (lambda: self.gateway.call("drain"), self.gateway.terminate):
+            client = self.gateway.client().send(whole[:20])
+            self.addCleanup(client.close)
+            leave()
+            client.expect(lambda got: got.kind == frames.GOING)
+            wait(0.6)
+            client.send(whole[20:])
+            cache = self.gateway.server()
+            self.addCleanup(cache.close)
+            cache.send(answer(cache.expect_pull()[0], b"DONE", body=b"x"))
+            client.expect_answer(1, frames.SERVED, b"x")
+            cache.close()
+            self.gateway.call("resume")
+
     def test_sigterm_while_drained_ends_well(self) -> None:
         self.gateway.call("drain")
         self.gateway.terminate()
