--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -66,6 +66,14 @@
     return half if younger else clients, (limit - clients - half - SPARE) // 2
 
 
+def shared(name: str) -> Path | None:
+    """Give the folder that processes of one gateway share; without one it serves all the same."""
+    if name and os.access(name, os.W_OK | os.X_OK):
+        return Path(name)
+    logger.warning("TMPDIR {!r} can't be written: hold-outs are not kept, no version takes over", name)
+    return None
+
+
 def tidy(sched: Scheduler) -> None:
     """Free the few cycles that exceptions leave: what is new each second, all of it once a minute."""
     gc.freeze()
@@ -85,7 +93,7 @@
     peers = Peers(sched, config.peer_listen, config.peers) if config.peer_listen else None
     tell = peers.tell if peers else lambda peer, note: None
     engine = Engine(Router(config.settings, config.seed), Clock(sched), back, tell)
-    folder = Path(os.environ["TMPDIR"]) if os.environ.get("TMPDIR") else None
+    folder = shared(os.environ.get("TMPDIR", ""))
     holdouts = HoldOuts(folder, engine.news, config.settings.origin_kind)
     bus = BusLink(sched, holdouts.news, config.bus, (config.zones, config.kinds))
     for event in config.known:
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -15,7 +15,7 @@
 from test_sockets import Scenario
 
 from hitchtiller import interface as api
-from hitchtiller.__main__ import descriptors, room
+from hitchtiller.__main__ import descriptors, room, shared
 from hitchtiller.codec import frames
 from hitchtiller.decide import Router
 from hitchtiller.engine import Engine
@@ -298,6 +298,12 @@
             self.assertLessEqual(sum(old) + sum(new) + 2 * 24, limit)
             self.assertLessEqual(max(old[0], new[0]), descriptors(limit, False, False)[0])
 
+    def test_a_folder_that_cannot_be_written_does_not_keep_the_program_from_serving(self) -> None:
+        """It ended with 2."""
+        self.assertIsNone(shared("/nowhere/at/all"))
+        self.assertIsNone(shared(""))
+        self.assertEqual(shared(str(ROOT)), ROOT)
+
     def test_buffers_of_two_fit_beside_what_both_hold(self) -> None:
         for memory in (32.0, 80.0, 192.0):
             alone, two = room(memory, two=False), room(memory, two=True)
