--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -4,6 +4,8 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
+from dataclasses import dataclass
 from itertools import count
 from pathlib import Path
 
@@ -84,8 +86,22 @@
         gc.collect(2 if turn % 60 == 0 else 1 if turn % 10 == 0 else 0)
 
 
-def serve(config: Config) -> None:
-    """Run one gateway until it is told to stop."""
+@dataclass(frozen=True, slots=True)
+class Gateway:
+    """The parts of a running gateway that what the operator's file asks for is joined to."""
+
+    config: Config
+    sched: Scheduler
+    engine: Engine
+    front: Front
+    bus: BusLink
+
+
+def serve(config: Config, extend: Callable[[Gateway], Callable[[], None]] | None = None) -> None:
+    """Run one gateway until it is told to stop.
+
+    `extend` joins more to it, and gives what is to be done at the end.
+    """
     sched = Scheduler()
     clients, links = descriptors(config.sockets, two=False, younger=False)
     times = (config.connect_ms, config.idle_ms)
@@ -96,9 +112,11 @@
     folder = shared(os.environ.get("TMPDIR", ""))
     holdouts = HoldOuts(folder, engine.news, config.settings.origin_kind)
     bus = BusLink(sched, holdouts.news, config.bus, (config.zones, config.kinds))
+    front = Front(sched, engine, config.settings, clients, room(config.memory_mb, two=False))
+
+    finish = extend(Gateway(config, sched, engine, front, bus)) if extend else None
     for event in config.known:
         bus.apply(event)
-    front = Front(sched, engine, config.settings, clients, room(config.memory_mb, two=False))
 
     def share(two: bool, younger: bool) -> None:
         front.room = room(config.memory_mb, two)
@@ -122,6 +140,8 @@
     sched.spawn(upgrade.run)
     sched.spawn(holdouts.run, sched)
     sched.run()
+    if finish:
+        finish()
     if sign:
         sign.remove()
     logger.info("stopped")
--- a/hitchtiller/back/jobs.py
+++ b/hitchtiller/back/jobs.py
@@ -73,8 +73,8 @@
             fields += f",cap={max(1, int(clearance.cap_ms))}"  # 0 would mean any age that is fresh
         if how := HOW[get.join, get.held_only, get.renew]:
             fields += f",do={how}"
-        if ask.have:
-            fields += f",inm={ask.have}"
+        if have := ask.have or attempt.exchange.confirm:
+            fields += f",inm={have}"
         return resp.write_command(b"PULL", self.name, fields.encode(), ask.body)
 
     def sent(self) -> None:
@@ -89,11 +89,12 @@
         if not status or (copy and not (REV.match(rev or "") and SINCE.match(since or ""))):
             raise resp.BadResp(f"answer {word!r:.20} rev={rev!r:.40} since={since!r:.40}")  # as may the rest
         unchanged = word == "KEEP"
-        if unchanged and not ask.have:
+        if unchanged and not (ask.have or self.attempt.exchange.confirm):
             status = "err"  # a server that keeps a copy the client never named
         load = resp.read_report(fields["rep"]) if "rep" in fields else {}
         served = body if word == "DONE" else b""
-        self.attempt.end(Ending(status, served, unchanged, fields.get("rev", ""), load))
+        given = int(since) if copy and since else 0
+        self.attempt.end(Ending(status, served, unchanged, fields.get("rev", ""), load, given))
 
     def broken(self, status: str) -> None:
         """End it with the connection: refused, or reset once written (unwritten jobs go elsewhere)."""
--- a/hitchtiller/bus.py
+++ b/hitchtiller/bus.py
@@ -30,6 +30,7 @@
         self.stream: Stream | None = None
         self.subscribed = self.told_all = False
         self.begun_ms = now_ms()
+        self.heard: Callable[[], None] | None = None  # called when there is nothing more to tell
 
     def followed(self, whole: bool) -> bool:
         """Tell whether the bus is followed; with `whole`, whether it has told all that there was."""
@@ -78,3 +79,5 @@
                 whole_ms = now_ms()
                 self.apply(event)
                 self.told_all = self.told_all or event[1] is None
+                if event[1] is None and self.heard:
+                    self.heard()
--- /dev/null
+++ b/hitchtiller/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line; each command imports what it needs when it is called."""
--- /dev/null
+++ b/hitchtiller/cli/__main__.py
@@ -0,0 +1,6 @@
+"""`python -m hitchtiller.cli` is `hitchtiller`."""
+
+from hitchtiller.cli.main import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hitchtiller/cli/check.py
@@ -0,0 +1,29 @@
+"""`hitchtiller check FILE`."""
+
+import sys
+from pathlib import Path
+
+import msgspec
+
+from hitchtiller.operator.read import BadFile, read_file
+
+
+def check(file: Path, as_json: bool) -> int:
+    """Print the problems; 0 if there is none, 1 if there is one, 2 if the file can't be read."""
+    try:
+        settings = read_file(file)
+    except OSError as error:
+        print(f"hitchtiller: {file}: {error.strerror}", file=sys.stderr)
+        return 2
+    except BadFile as error:
+        if as_json:
+            fields = [{"line": p.line, "what": p.what, "instead": p.instead} for p in error.problems]
+            print(msgspec.json.encode({"file": str(file), "problems": fields}).decode())
+        else:
+            print(error)
+        return 1
+    if as_json:
+        print(msgspec.json.encode({"file": str(file), "problems": [], "settings": settings}).decode())
+    else:
+        print(f"{file}: good; store {'on' if settings.store else 'off'}")
+    return 0
--- /dev/null
+++ b/hitchtiller/cli/main.py
@@ -0,0 +1,135 @@
+"""The commands and their options.
+
+Exit codes: 0 done, 1 something was found to be wrong, 2 bad usage or input.
+"""
+
+import sys
+from importlib import import_module
+from importlib.metadata import PackageNotFoundError, version
+from pathlib import Path
+from typing import Any, NoReturn
+
+import click
+
+FOLDER = click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+JSON = click.option("--json", "as_json", is_flag=True, help="Print one JSON object instead of a table.")
+
+
+def _version() -> str:
+    try:
+        return version("hitchtiller")
+    except PackageNotFoundError:
+        return "0 (not installed)"
+
+
+def run(module: str, name: str, /, **options: Any) -> NoReturn:
+    """Import a command's module only now, run it, and end with its exit code."""
+    sys.exit(getattr(import_module(f"hitchtiller.cli.{module}"), name)(**options))
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(_version(), prog_name="hitchtiller")
+def main() -> None:
+    """A gateway for station caches, and the tools round it.
+
+    Shell completion: eval "$(_HITCHTILLER_COMPLETE=bash_source hitchtiller)".
+    """
+
+
+@main.command()
+@click.option("--file", type=click.Path(dir_okay=False, path_type=Path), help="The operators' file (HCL).")
+def serve(file: Path | None) -> None:
+    """Run one gateway: BALANCER_* as on the platform, and what the operators' file switches on."""
+    run("serve", "serve", file=file)
+
+
+@main.command()
+@click.argument("file", type=click.Path(dir_okay=False, path_type=Path))
+@JSON
+def check(file: Path, as_json: bool) -> None:
+    """Check an operators' file; every problem is told with its line. Exit code 1 if there is one."""
+    run("check", "check", file=file, as_json=as_json)
+
+
+@main.command()
+@click.option("--requests", default=12, show_default=True, type=click.IntRange(1, 1000))
+@click.option("--seed", default=1, show_default=True)
+@JSON
+def demo(requests: int, seed: int, as_json: bool) -> None:
+    """Start a gateway with stand-in caches on free loopback ports, and show the way of some requests."""
+    run("demo", "demo", requests=requests, seed=seed, as_json=as_json)
+
+
+@main.group()
+def store() -> None:
+    """Look at, check and measure a folder of kept copies. The gateway that owns it must not be running."""
+
+
+@store.command()
+@FOLDER
+@JSON
+def inspect(folder: Path, as_json: bool) -> None:
+    """Show the segments, the checkpoint, the purges and the watermark; reads heads only."""
+    run("store", "inspect", folder=folder, as_json=as_json)
+
+
+@store.command()
+@FOLDER
+@JSON
+def verify(folder: Path, as_json: bool) -> None:
+    """Read every record and check its checksums. Exit code 1 if one does not hold."""
+    run("store", "verify", folder=folder, as_json=as_json)
+
+
+@store.command()
+@FOLDER
+@click.option("--budget-mb", default=1024.0, show_default=True, type=click.FloatRange(1.0))
+@click.option("--segment-mb", default=64.0, show_default=True, type=click.FloatRange(0.5, 256.0))
+@JSON
+def compact(folder: Path, budget_mb: float, segment_mb: float, as_json: bool) -> None:
+    """Write what lives into fresh segments, remove the rest, and leave a checkpoint."""
+    run("store", "compact", folder=folder, budget_mb=budget_mb, segment_mb=segment_mb, as_json=as_json)
+
+
+@store.command()
+@FOLDER
+@click.argument("target", type=click.Path(file_okay=False, path_type=Path))
+@click.option("--object", "name", help="Only this object, 16 hex digits.")
+@JSON
+def export(folder: Path, target: Path, name: str | None, as_json: bool) -> None:
+    """Write the parts as files into TARGET, with an index in JSON beside them."""
+    run("store", "export", folder=folder, target=target, name=name, as_json=as_json)
+
+
+@store.command()
+@FOLDER
+@click.option("--parts", default=2000, show_default=True, type=click.IntRange(1, 10_000_000))
+@click.option("--kb", default=32.0, show_default=True, type=click.FloatRange(0.001, 240.0))
+@click.option("--seconds", default=2.0, show_default=True, type=click.FloatRange(0.05, 600.0))
+@JSON
+def bench(folder: Path, parts: int, kb: float, seconds: float, as_json: bool) -> None:
+    """Fill an empty FOLDER and measure writes, starts, and reads beside plain os.pread of the same bytes."""
+    run("bench", "bench", folder=folder, parts=parts, kb=kb, seconds=seconds, as_json=as_json)
+
+
+@store.command()
+@click.option("--requests", default=300_000, show_default=True, type=click.IntRange(1000))
+@click.option("--objects", default=40_000, show_default=True, type=click.IntRange(100))
+@click.option(
+    "--room", default=0.05, show_default=True, type=click.FloatRange(0.0001, 1.0), help="Share of all bytes."
+)
+@click.option("--zipf", default=0.95, show_default=True, type=click.FloatRange(0.0, 3.0))
+@click.option(
+    "--drift", default=0.0, show_default=True, type=click.FloatRange(0.0, 1.0), help="Ranks lost in a run."
+)
+@click.option(
+    "--scan", default=0.2, show_default=True, type=click.FloatRange(0.0, 0.9), help="Share wanted once."
+)
+@click.option("--seeds", default=3, show_default=True, type=click.IntRange(1, 50))
+@click.option(
+    "--trace", type=click.Path(exists=True, dir_okay=False, path_type=Path), help="Lines of KEY SIZE."
+)
+@JSON
+def replay(**options: Any) -> None:
+    """Play traces against the admission policies, with and without a scan; no sockets, no files."""
+    run("replay", "replay", **options)
--- a/hitchtiller/config.py
+++ b/hitchtiller/config.py
@@ -38,6 +38,8 @@
     connect_ms: float
     idle_ms: float
     streams: int  # attempts carried together on one connection
+    flow_bytes_per_s: float  # of one transfer of the gateway's own, and of all; 0: no bound
+    link_bytes_per_s: float
 
 
 def read_config(environ: Mapping[str, str]) -> Config:
@@ -94,4 +96,6 @@
         connect_ms=float(rules.get("connect_timeout_ms", 400.0)),
         idle_ms=float(rules.get("conn_idle_ms", 15_000.0)),
         streams=int(rules.get("multiplex", 32)),
+        flow_bytes_per_s=float(data.get("flow_bytes_per_s", 0.0)),
+        link_bytes_per_s=float(data.get("link_bytes_per_s", 0.0)),
     )
--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -47,6 +47,31 @@
         """Take the list's news; the call that it gives ends what was out on processes that are gone."""
 
 
+class Copies(Protocol):
+    """Copies of the gateway's own, asked before the decisions are."""
+
+    def take(self, exchange: Exchange) -> bool:
+        """Take a request: True if it is answered, or waits for what may answer it."""
+
+    def may_send(self, exchange: Exchange) -> bool:
+        """Tell whether one more attempt may go out for all that wait for it."""
+
+    def cap(self, exchange: Exchange, cap_ms: float, now_ms: float) -> float:
+        """Bound the age of the copy that is asked for further; 0 for no bound."""
+
+    def arrived(self, attempt: Attempt, ending: Ending) -> Ending:
+        """Take a served attempt's end, to keep it or to put a confirmed copy's bytes in."""
+
+    def instead(self, exchange: Exchange, answer: Answer) -> Answer:
+        """Give what is better than a refusal or a failure, if there is something."""
+
+    def over(self, exchange: Exchange, answer: Answer | None) -> None:
+        """Hear of a request's end; None if its client left."""
+
+    def purged(self, ban: Ban) -> None:
+        """Hear of a purge before the decisions do."""
+
+
 class Engine:
     """The events of one gateway, in order, into `Router.handle`; the actions out."""
 
@@ -64,6 +89,7 @@
         self.numbers = count(1)
         self.events: deque[api.Event] = deque()
         self.busy = False
+        self.copies: Copies | None = None
         self.stats = Stats(router.s.classes)
         self.stats.levels = {
             "in_flight": lambda: len(self.open),
@@ -85,12 +111,20 @@
         self.stats.taken += 1
         delay = ask.deadline_ms - self.clock.now_ms()
         exchange.guard = self.clock.later(delay, partial(self.expire, exchange)).cancel
+        if self.copies is None or not self.copies.take(exchange):
+            self.decide(exchange)
+        return exchange
+
+    def decide(self, exchange: Exchange) -> None:
+        """Hand a request to the decisions, once."""
+        if exchange.over or exchange.decided:
+            return
+        exchange.decided, ask = True, exchange.ask
         self.give(
             api.Request(
                 exchange.number, ask.class_name, ask.key, ask.deadline_ms, ask.size_kb, ask.group, ask.part
             )
         )
-        return exchange
 
     def leave(self, exchange: Exchange) -> None:
         """Nobody waits for it any more: stop its attempts."""
@@ -116,7 +150,10 @@
     def abandon(self, exchange: Exchange) -> None:
         """Tell the decisions that a request is over and cancel what is out for it."""
         self._drop(exchange)
-        self.give(api.Left(exchange.number))
+        if exchange.decided:
+            self.give(api.Left(exchange.number))
+        if self.copies:
+            self.copies.over(exchange, None)
         for attempt in list(exchange.attempts):
             self.cancel(attempt, "ecanceled")
 
@@ -126,9 +163,13 @@
 
     def finish(self, exchange: Exchange, answer: Answer) -> None:
         """Give the final answer, once."""
+        if self.copies and answer.kind != SERVED:
+            answer = self.copies.instead(exchange, answer)
         self._drop(exchange)
         if exchange.finish(answer):
             self.stats.end(exchange.ask.class_name, answer.kind)
+            if self.copies:
+                self.copies.over(exchange, answer)
         exchange.settle()
 
     # News
@@ -136,6 +177,8 @@
     def news(self, event: Event) -> None:
         """Take an event of the bus."""
         if isinstance(event, Ban):
+            if self.copies:
+                self.copies.purged(event)
             age = max(0.0, self.clock.now_ms() - event.at_ms)
             self.give(api.Purged(event.key, event.group, age))
             return
@@ -204,11 +247,15 @@
         if exchange is None:
             return
         now = self.clock.now_ms()
+        spared = self.copies is not None and not self.copies.may_send(exchange)
         attempt = Attempt(exchange, get, now, self.clear, self.ended, self.sent)
         if 0.0 < get.timeout_ms < exchange.ask.deadline_ms - now - 1.0:  # else the deadline ends it
             timer = self.clock.later(get.timeout_ms, partial(self.cancel, attempt, "etimedout"))
             attempt.timeout = timer.cancel
-        self.back.send(attempt)
+        if spared:
+            attempt.drop("skipped")  # it was never written, so it can't have run
+        else:
+            self.back.send(attempt)
 
     def clear(self, attempt: Attempt) -> Clearance | None:
         """Ask the decisions again at the first byte: drains and purges may have come since."""
@@ -220,6 +267,8 @@
         except Exception:  # noqa: BLE001  it would take a connection's other jobs along
             logger.exception("clearing an attempt failed")
             return None
+        if cap is not None and self.copies:
+            cap = self.copies.cap(attempt.exchange, cap, now)
         return None if cap is None else Clearance(cap, attempt.exchange.ask.deadline_ms - now)
 
     def sent(self) -> None:
@@ -235,8 +284,11 @@
     def ended(self, attempt: Attempt, ending: Ending) -> None:
         """Take an attempt's end: the first served one is the answer."""
         exchange = attempt.exchange
+        if ending.status == "done" and self.copies:
+            ending = self.copies.arrived(attempt, ending)
         if ending.status == "done" and not exchange.over:
-            self.finish(exchange, Answer(SERVED, ending.body, ending.unchanged, ending.tag))
+            answer = Answer(SERVED, ending.body, ending.unchanged, ending.tag, since_ms=ending.since_ms)
+            self.finish(exchange, answer)
         self.give(
             api.Outcome(
                 attempt.get.id,
--- a/hitchtiller/exchange.py
+++ b/hitchtiller/exchange.py
@@ -36,6 +36,7 @@
     unchanged: bool = False
     tag: str = ""
     wait_ms: float = 0.0
+    since_ms: int = 0  # when the origin gave out the copy; 0 where it is no copy
 
 
 @dataclass(slots=True)
@@ -47,6 +48,7 @@
     unchanged: bool = False
     tag: str = ""
     load: dict[str, float] = field(default_factory=dict)
+    since_ms: int = 0  # when the origin gave out the copy; 0 where it is no copy
 
 
 @dataclass(slots=True)
@@ -102,7 +104,7 @@
 class Exchange:
     """A taken request: it is owed exactly one final answer, unless its client leaves."""
 
-    __slots__ = ("ask", "attempts", "deliver", "guard", "number", "over")
+    __slots__ = ("ask", "attempts", "confirm", "decided", "deliver", "guard", "number", "over")
 
     def __init__(self, number: int, ask: Ask, deliver: Callable[[Answer], None]) -> None:
         """Take a request; `deliver` carries the final answer to the client."""
@@ -110,6 +112,8 @@
         self.attempts: list[Attempt] = []
         self.guard: Callable[[], None] | None = None  # takes the overdue timer back
         self.over = False
+        self.decided = False  # the decisions have it
+        self.confirm = ""  # tag of a copy of our own that a server is asked about
 
     def finish(self, answer: Answer) -> bool:
         """Answer; False if the exchange was over: a second answer would lose the request."""
--- a/hitchtiller/log.py
+++ b/hitchtiller/log.py
@@ -1,8 +1,10 @@
 """The log: one line for each connection that ends, with a code for the reason; none for a request."""
 
 import sys
+from collections.abc import Callable
 from inspect import iscoroutinefunction
 from types import ModuleType
+from typing import Any
 
 __all__ = ["ended", "logger", "start"]
 
@@ -27,14 +29,18 @@
 from loguru import logger  # noqa: E402  only now
 
 
-def start(name: str) -> None:
-    """Write plain lines to standard error."""
+def start(name: str, sink: Callable[[Any], None] | None = None) -> None:
+    """Write plain lines to standard error, or hand each record to a sink."""
     logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {extra[node]} {message}", diagnose=False)
+    if sink:
+        logger.add(sink, format="{message}", diagnose=False)
+    else:
+        logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {extra[node]} {message}", diagnose=False)
     logger.configure(extra={"node": name})
 
 
 def ended(side: str, peer: str, code: str, detail: str = "", **counts: int) -> None:
     """Write the line of a connection that has ended."""
     texts = [f"{name}={count}" for name, count in counts.items()]
-    logger.info("end {} {} code={} {}", side, peer, code, " ".join([*texts, detail] if detail else texts))
+    line = logger.bind(side=side, peer=peer, code=code, **counts)
+    line.info("end {} {} code={} {}", side, peer, code, " ".join([*texts, detail] if detail else texts))
--- /dev/null
+++ b/hitchtiller/operator/model.py
@@ -0,0 +1,61 @@
+"""What may stand in the operators' file: blocks as msgspec models, each setting with its bounds.
+
+The models are the one list of names: reading, checking, the suggestions for misspelt names and the example in
+the docs are made from them. Sizes in `_mb` are millions of bytes, times end in `_s` or `_ms`.
+"""
+
+from typing import Annotated, Literal
+
+from msgspec import Meta, Struct
+
+MB = 1_000_000
+
+
+class Log(Struct, frozen=True, forbid_unknown_fields=True):
+    """How log lines are written."""
+
+    form: Annotated[Literal["text", "json"], Meta(description='"text" or "json"')] = "text"
+
+
+class Share(Struct, frozen=True, forbid_unknown_fields=True):
+    """One class's share of the memory tier."""
+
+    weight: Annotated[float, Meta(gt=0, le=1000, description="a number above 0")] = 1.0
+
+
+class Disk(Struct, frozen=True, forbid_unknown_fields=True):
+    """A folder that outlives the process."""
+
+    folder: Annotated[str, Meta(min_length=1, description="the path of a folder that this gateway may write")]
+    budget_mb: Annotated[float, Meta(ge=1, le=1_000_000, description="a size from 1 to 1000000")] = 1024
+    reserve_mb: Annotated[float, Meta(ge=0, le=100_000, description="a size from 0 to 100000")] = 0
+    segment_mb: Annotated[float, Meta(ge=0.5, le=256, description="a size from 0.5 to 256")] = 64
+    queue_mb: Annotated[float, Meta(ge=0.5, le=1024, description="a size from 0.5 to 1024")] = 8
+    readers: Annotated[int, Meta(ge=1, le=16, description="a whole number from 1 to 16")] = 2
+    sync_ms: Annotated[float, Meta(ge=10, le=60_000, description="a time from 10 to 60000")] = 1000
+    checkpoint_s: Annotated[float, Meta(ge=0.1, le=3600, description="a time from 0.1 to 3600")] = 30
+    compact_mb_per_s: Annotated[float, Meta(ge=0.1, le=10_000, description="a rate from 0.1 to 10000")] = 50
+    compact_busy_mb_per_s: Annotated[
+        float, Meta(ge=0.1, le=10_000, description="a rate from 0.1 to 10000")
+    ] = 5
+
+
+class Store(Struct, frozen=True, forbid_unknown_fields=True):
+    """Copies of the gateway's own."""
+
+    memory_mb: Annotated[float, Meta(ge=0.1, le=1_000_000, description="a size from 0.1 to 1000000")] = 64
+    policy: Annotated[
+        Literal["tinylfu", "s3fifo", "lru", "lfu", "fifo"],
+        Meta(description='"tinylfu", "s3fifo", "lru", "lfu" or "fifo"'),
+    ] = "tinylfu"
+    confirm: Annotated[bool, Meta(description="true or false")] = True
+    purge_lag_ms: Annotated[float, Meta(ge=0, le=60_000, description="a time from 0 to 60000")] = 2000
+    disk: Disk | None = None
+    share: dict[str, Share] = {}
+
+
+class File(Struct, frozen=True, forbid_unknown_fields=True):
+    """The whole file; what is not in it is off."""
+
+    log: Log = Log()
+    store: Store | None = None
--- /dev/null
+++ b/hitchtiller/operator/read.py
@@ -0,0 +1,280 @@
+"""Reads the operators' file: HCL to models, or problems with their lines and what to write instead.
+
+All problems are found in one pass, and a file with any gives no settings at all: nothing starts on half a
+file.
+"""
+
+import difflib
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import hcl2.api
+import hcl2.parser
+import msgspec
+from lark import Tree
+from lark.exceptions import UnexpectedInput
+from msgspec import inspect as types
+
+from hitchtiller.operator.model import File, Store
+
+HCL = hcl2.parser.hcl2
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One thing that is wrong."""
+
+    file: str
+    line: int
+    what: str
+    instead: str
+
+    def __str__(self) -> str:
+        """Write it as compilers do."""
+        return f"{self.file}:{self.line}: {self.what}; {self.instead}"
+
+
+class BadFile(Exception):
+    """A file that can't be used; `problems` are in the order of their lines."""
+
+    def __init__(self, problems: list[Problem]) -> None:
+        """Keep the problems."""
+        super().__init__("\n".join(map(str, problems)))
+        self.problems = problems
+
+
+@dataclass(frozen=True, slots=True)
+class Setting:
+    """An attribute or a block as it stands: name, labels, line, and its value or what is in it."""
+
+    name: str
+    labels: tuple[str, ...]
+    line: int
+    value: Any = None
+    inside: tuple["Setting", ...] | None = None
+
+
+def read_file(path: Path) -> File:
+    """Read and check a file; BadFile with all that is wrong, OSError if it can't be read."""
+    try:
+        text = path.read_text()
+    except UnicodeDecodeError:
+        raise BadFile([Problem(str(path), 1, "the file is not text", "write it in UTF-8")]) from None
+    return read_text(text, str(path))
+
+
+def read_text(text: str, name: str = "gateway.hcl") -> File:
+    """Read and check a file's text."""
+    try:
+        tree = HCL.parse(text + "\n")
+        body = next(node for node in _topdown(tree) if node.data == "body")
+        settings = tuple(_settings(body, text))
+    except UnexpectedInput as error:
+        line = max(1, min(getattr(error, "line", 1), text.count("\n") + 1))
+        shown = (text.splitlines() or [""])[min(line, len(text.splitlines()) or 1) - 1].strip()
+        what = f"this is not HCL, near {shown[:60]!r}"
+        raise BadFile(
+            [Problem(name, line, what, 'write settings as name = value, blocks as name "label" { }')]
+        ) from None
+    problems: list[Problem] = []
+    values = _struct(File, settings, 1, name, "the file", problems)
+    if not problems:
+        problems += _relations(values.get("store"), settings, name)
+    if problems:
+        raise BadFile(sorted(problems, key=lambda problem: problem.line))
+    return msgspec.convert(values, File)
+
+
+def _topdown(tree: Tree[Any]) -> Iterator[Tree[Any]]:
+    return tree.iter_subtrees_topdown()  # type: ignore[no-any-return, no-untyped-call]
+
+
+def _settings(body: Tree[Any], text: str) -> Iterator[Setting]:
+    for node in body.children:
+        if not isinstance(node, Tree) or node.data not in ("attribute", "block"):
+            continue
+        name = (
+            str(node.children[0].children[0]) if isinstance(node.children[0], Tree) else str(node.children[0])
+        )
+        line = node.meta.line
+        if node.data == "attribute":
+            source = text[node.meta.start_pos : node.meta.end_pos]
+            yield Setting(name, (), line, _value(source))
+        else:
+            labels = tuple(
+                str(child.children[0] if isinstance(child, Tree) else child).strip('"')
+                for child in node.children[1:-1]
+            )
+            yield Setting(name, labels, line, inside=tuple(_settings(node.children[-1], text)))
+
+
+def _value(source: str) -> Any:
+    """Read one attribute by itself; what is no plain value comes back as text in ${ }."""
+    (value,) = hcl2.api.loads(source.strip() + "\n").values()
+    return value
+
+
+def _nearest(name: str, known: list[str]) -> str:
+    close = difflib.get_close_matches(name, known, 1, 0.5)
+    return f"did you mean {close[0]!r}?" if close else "known here: " + ", ".join(sorted(known))
+
+
+def _struct(
+    model: type, settings: tuple[Setting, ...], line: int, file: str, where: str, problems: list[Problem]
+) -> dict[str, Any]:
+    """Check what stands in one block against its model; gives plain values for msgspec."""
+    info = types.type_info(model)
+    assert isinstance(info, types.StructType)
+    fields = {field.name: field for field in info.fields}
+    values: dict[str, Any] = {}
+    first: dict[tuple[str, ...], int] = {}
+    for setting in settings:
+        field = fields.get(setting.name)
+        if field is None:
+            problems.append(
+                Problem(
+                    file,
+                    setting.line,
+                    f"{setting.name!r} is not known in {where}",
+                    _nearest(setting.name, [*fields]),
+                )
+            )
+            continue
+        place = (setting.name, *setting.labels)
+        if place in first:
+            text = f"{' '.join(place)!r} stands here a second time (first in line {first[place]})"
+            problems.append(Problem(file, setting.line, text, "leave one of them out"))
+            continue
+        first[place] = setting.line
+        kind, many = _block(field.type)
+        if kind is not None:
+            _take_block(kind, many, setting, file, values, problems)
+        else:
+            _take_value(field, setting, file, values, problems)
+    for field in fields.values():
+        if field.required and not any(place[0] == field.name for place in first):
+            problems.append(
+                Problem(file, line, f"{field.name!r} is missing in {where}", f"write {_expected(field.type)}")
+            )
+    return values
+
+
+def _block(kind: types.Type) -> tuple[type | None, bool]:
+    """Tell whether a field is a block, and whether it may stand several times under labels."""
+    if isinstance(kind, types.UnionType):
+        kind = next((each for each in kind.types if isinstance(each, types.StructType)), kind)
+    if isinstance(kind, types.DictType) and isinstance(kind.value_type, types.StructType):
+        return kind.value_type.cls, True
+    return (kind.cls, False) if isinstance(kind, types.StructType) else (None, False)
+
+
+def _take_block(
+    kind: type, many: bool, setting: Setting, file: str, values: dict[str, Any], problems: list[Problem]
+) -> None:
+    name, line = setting.name, setting.line
+    if setting.inside is None:
+        form = f'{name} "NAME" {{ ... }}' if many else f"{name} {{ ... }}"
+        problems.append(Problem(file, line, f"{name!r} is a block", f"write {form}"))
+        return
+    if len(setting.labels) != int(many):
+        text = f'{name} "NAME" {{ ... }}' if many else f"{name} {{ ... }}, without a label"
+        problems.append(Problem(file, line, f"{name!r} has {len(setting.labels)} labels", f"write {text}"))
+        return
+    inner = _struct(kind, setting.inside, line, file, repr(" ".join((name, *setting.labels))), problems)
+    if many:
+        values.setdefault(name, {})[setting.labels[0]] = inner
+    else:
+        values[name] = inner
+
+
+def _take_value(
+    field: types.Field, setting: Setting, file: str, values: dict[str, Any], problems: list[Problem]
+) -> None:
+    expected = f"write {_expected(field.type)}"
+    if setting.inside is not None:
+        problems.append(
+            Problem(file, setting.line, f"{setting.name!r} is a setting, not a block", f"{expected} after =")
+        )
+        return
+    value = setting.value
+    if isinstance(value, str) and "${" in value:
+        text = f"{setting.name!r} holds an expression, which this file does not have"
+        problems.append(Problem(file, setting.line, text, expected))
+        return
+    try:
+        holder = msgspec.defstruct("Holder", [("value", _annotation(field.type))])
+        msgspec.convert({"value": value}, holder)
+    except msgspec.ValidationError as error:
+        why = re.sub(r" - at `\$\.value`$", "", str(error))
+        problems.append(
+            Problem(file, setting.line, f"{setting.name} = {value!r}: {why[0].lower()}{why[1:]}", expected)
+        )
+        return
+    values[setting.name] = value
+
+
+def _annotation(kind: types.Type) -> Any:
+    """Build the type again that msgspec looked into."""
+    from typing import Annotated, Literal
+
+    meta = kind
+    if isinstance(meta, types.Metadata):
+        kind = meta.type
+    base: Any
+    if isinstance(kind, types.LiteralType):
+        base = Literal[tuple(kind.values)]
+    elif isinstance(kind, types.IntType | types.FloatType):
+        base = int if isinstance(kind, types.IntType) else float
+        bounds = {
+            name: getattr(kind, name) for name in ("gt", "ge", "lt", "le") if getattr(kind, name) is not None
+        }
+        return Annotated[base, msgspec.Meta(**bounds)]
+    elif isinstance(kind, types.StrType):
+        return Annotated[str, msgspec.Meta(min_length=kind.min_length)]
+    else:
+        base = bool
+    return base
+
+
+def _expected(kind: types.Type) -> str:
+    extra = kind.extra_json_schema if isinstance(kind, types.Metadata) else None
+    return str((extra or {}).get("description", "a value"))
+
+
+def _relations(store: dict[str, Any] | None, settings: tuple[Setting, ...], file: str) -> list[Problem]:
+    """Check what only holds between settings."""
+    if not store or not store.get("disk"):
+        return []
+    checked = msgspec.convert(store, Store)
+    disk = checked.disk
+    assert disk
+    block = next(s for s in settings if s.name == "store")
+    inside = next(s for s in block.inside or () if s.name == "disk")
+    lines = {setting.name: setting.line for setting in inside.inside or ()}
+
+    def at(name: str) -> int:
+        return lines.get(name, inside.line)
+
+    problems = []
+    reserve = max(disk.reserve_mb, 2 * disk.segment_mb)
+    if disk.budget_mb < reserve + 2 * disk.segment_mb:
+        what = f"budget_mb = {disk.budget_mb:g} leaves no two segments beside a reserve of {reserve:g}"
+        problems.append(
+            Problem(file, at("budget_mb"), what, f"write at least {reserve + 2 * disk.segment_mb:g}")
+        )
+    if not Path(disk.folder).is_absolute():
+        problems.append(
+            Problem(file, at("folder"), f"folder = {disk.folder!r} is not absolute", "write the path from /")
+        )
+    if disk.compact_busy_mb_per_s > disk.compact_mb_per_s:
+        what = "compact_busy_mb_per_s is above compact_mb_per_s: compaction would not give way to clients"
+        problems.append(
+            Problem(file, at("compact_busy_mb_per_s"), what, f"write at most {disk.compact_mb_per_s:g}")
+        )
+    if disk.queue_mb > disk.budget_mb / 2:
+        what = f"queue_mb = {disk.queue_mb:g} is over half of the budget"
+        problems.append(Problem(file, at("queue_mb"), what, f"write at most {disk.budget_mb / 2:g}"))
+    return problems
--- a/hitchtiller/ops/stats.py
+++ b/hitchtiller/ops/stats.py
@@ -14,6 +14,7 @@
         self.ends = {name: dict.fromkeys(ENDS, 0) for name in classes}
         self.taken = self.left = self.attempts = 0
         self.levels: dict[str, Callable[[], int]] = {}  # read when asked: steps may be missed
+        self.counts: dict[str, Callable[[], int]] = {}  # counters that other parts hold
 
     def end(self, class_name: str, kind: str) -> None:
         """Count a final answer; a class that the settings don't have has no counter."""
@@ -28,6 +29,7 @@
         """Write all figures, a line each."""
         counted = {f"{kind}.{name}": n for name, ends in self.ends.items() for kind, n in ends.items()}
         counted["attempts"] = self.attempts
+        counted |= {name: read() for name, read in self.counts.items()}
         levels = {name: read() for name, read in self.levels.items()}
         return [f"{PREFIX}.{name}:{count}|c" for name, count in counted.items()] + [
             f"{PREFIX}.{name}:{level}|g" for name, level in levels.items()
--- /dev/null
+++ b/hitchtiller/store/sketch.py
@@ -0,0 +1,62 @@
+"""How often each object was asked for lately, in a few bits: a count-min sketch behind a doorkeeper.
+
+Bound: `width` bytes for each of ROWS rows and `width` bits of doorkeeper, whatever the number of objects. An
+estimate is never too low by more than what ageing took, and too high only by collisions. Ageing halves all
+counters after `sample` additions, CHUNK bytes a call, so that no call stalls the loop.
+"""
+
+ROWS = 4
+MOST = 15  # counts saturate: what is asked for more often is kept anyhow
+CHUNK = 1 << 16
+HALF = bytes(n >> 1 for n in range(256))
+MIX = (0x9E3779B97F4A7C15, 0xC2B2AE3D27D4EB4F, 0x165667B19E3779F9, 0xD6E8FEB86659FD93)
+WORD = (1 << 64) - 1
+
+
+class Sketch:
+    """Counts fingerprints approximately.
+
+    A first sighting sets only a bit, so one-offs don't fill counters.
+    """
+
+    def __init__(self, width: int = 1 << 16, sample: int = 0) -> None:
+        """Hold `width` counters a row (rounded up to a power of two); age after `sample` additions."""
+        size = 1 << max(6, (width - 1).bit_length())
+        self.mask, self.sample = size - 1, sample or 8 * size
+        self.rows = [bytearray(size) for _ in range(ROWS)]
+        self.door = bytearray(size >> 3)
+        self.added = 0
+        self.ageing: list[tuple[bytearray, int]] = []
+
+    def _at(self, mark: int, row: int) -> int:
+        return ((mark * MIX[row] & WORD) >> 32) & self.mask
+
+    def add(self, mark: int) -> None:
+        """Count one request."""
+        self.added += 1
+        if self.ageing:
+            self._age()
+        elif self.added >= self.sample:
+            self.added //= 2
+            self.door = bytearray(len(self.door))
+            self.ageing = [(row, at) for row in self.rows for at in range(0, len(row), CHUNK)]
+        spot = mark & self.mask
+        if not self.door[spot >> 3] >> (spot & 7) & 1:
+            self.door[spot >> 3] |= 1 << (spot & 7)
+            return
+        places = [self._at(mark, row) for row in range(ROWS)]
+        least = min(row[at] for row, at in zip(self.rows, places, strict=True))
+        if least < MOST:  # conservative: only the lowest counters grow, which halves what collisions add
+            for row, at in zip(self.rows, places, strict=True):
+                if row[at] == least:
+                    row[at] = least + 1
+
+    def _age(self) -> None:
+        row, at = self.ageing.pop()
+        row[at : at + CHUNK] = row[at : at + CHUNK].translate(HALF)
+
+    def count(self, mark: int) -> int:
+        """Estimate how often it was asked for lately, from 0 to 16."""
+        spot = mark & self.mask
+        seen = self.door[spot >> 3] >> (spot & 7) & 1
+        return seen + min(row[self._at(mark, place)] for place, row in enumerate(self.rows))
--- /dev/null
+++ b/standins/client.py
@@ -0,0 +1,134 @@
+"""A terminal on asyncio: asks on one connection, and has every answer judged against the truth."""
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from hitchtiller.codec import frames
+from standins.truth import Truth, now_ms
+
+
+@dataclass(slots=True)
+class Answered:
+    """A final answer as the client got it."""
+
+    code: int
+    fields: dict[str, str]
+    body: bytes
+    sent_ms: float
+    got_ms: float
+
+
+@dataclass(slots=True)
+class Verdicts:
+    """What all clients together saw; `wrong` holds a line for each answer that breaks a rule."""
+
+    counts: Counter[str] = field(default_factory=Counter)
+    wrong: list[str] = field(default_factory=list)
+    waits_ms: list[float] = field(default_factory=list)
+
+
+class Terminal:
+    """One connection; `ask` waits for the answer, None if the connection ended first."""
+
+    def __init__(self, truth: Truth, verdicts: Verdicts, rng: random.Random) -> None:
+        """Judge by a truth, and count in verdicts that several share."""
+        self.truth, self.verdicts, self.rng = truth, verdicts, rng
+        self.streams, self.open = 0, dict[int, asyncio.Future[frames.Frame | None]]()
+        self.tags: dict[tuple[int, int], tuple[str, bytes]] = {}  # what this client keeps itself
+        self.writer: asyncio.StreamWriter | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    async def connect(self, port: int) -> None:
+        """Open the connection."""
+        reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
+        self.task = asyncio.create_task(self._read(reader))
+
+    async def _read(self, reader: asyncio.StreamReader) -> None:
+        answers = frames.FrameReader()
+        try:
+            while data := await reader.read(262_144):
+                for frame in answers.feed(data):
+                    waiting = self.open.pop(frame.stream, None)
+                    if frame.kind == frames.ANSWER and waiting and not waiting.done():
+                        waiting.set_result(frame)
+                    elif frame.kind == frames.ANSWER and frame.stream:
+                        self.verdicts.counts["second answer"] += 1
+                        self.verdicts.wrong.append(f"a second answer on stream {frame.stream}")
+        except (ConnectionError, frames.BadFrame):
+            pass
+        finally:
+            for waiting in self.open.values():
+                if not waiting.done():
+                    waiting.set_result(None)
+            self.open.clear()
+
+    async def ask(
+        self,
+        class_name: str,
+        key: int,
+        part: int = 0,
+        wait_ms: float = 2000.0,
+        have: str = "",
+        keyed: str = "",
+    ) -> Answered | None:
+        """Ask for a part; None where the connection ended before the answer."""
+        assert self.writer and self.task
+        if self.task.done():
+            return None
+        self.streams += 1
+        stream, sent = self.streams, now_ms()
+        fields = {
+            "c": class_name,
+            "i": f"{self.rng.getrandbits(64):016x}",
+            "d": f"{wait_ms:.0f}",
+            "o": f"{key:016x}",
+            "piece": str(part),
+            "lot": str(self.truth.group(key)),
+            "m": f"{self.truth.size(key, part) / 1000.0:.3f}",
+        }
+        if have:
+            fields["ver"] = have
+        if keyed:
+            fields["k"] = keyed
+        payload = frames.write_fields(fields)
+        waiting = self.open[stream] = asyncio.get_running_loop().create_future()
+        self.writer.write(frames.head(frames.REQUEST, stream, len(payload)) + payload)
+        try:
+            frame = await asyncio.wait_for(waiting, wait_ms / 1000.0 + 1.0)
+        except TimeoutError:
+            self.verdicts.counts["lost"] += 1
+            self.verdicts.wrong.append(f"no answer for {key:x}/{part} within its time and a second more")
+            return None
+        if frame is None:
+            return None
+        told, end = frames.read_fields(frame.payload, 1)
+        return Answered(frame.payload[0], told, frame.payload[end:], sent, now_ms())
+
+    async def read(
+        self, class_name: str, key: int, part: int = 0, wait_ms: float = 2000.0
+    ) -> Answered | None:
+        """Ask as a client with copies of its own does, and judge the answer."""
+        have, mine = self.tags.get((key, part), ("", b""))
+        got = await self.ask(class_name, key, part, wait_ms, have)
+        counts = self.verdicts.counts
+        if got is None:
+            counts["broken off"] += 1
+            return None
+        counts[{0: "served", 11: "refused", 5: "failed"}.get(got.code, "odd code")] += 1
+        if got.code == 0:
+            body = mine if got.fields.get("unchanged") else got.body
+            verdict = self.truth.judge(key, part, body, got.sent_ms, got.got_ms)
+            if verdict:
+                counts[verdict] += 1
+                self.verdicts.wrong.append(f"{verdict}: {key:x}/{part}, {got.fields}, {len(body)} bytes")
+            self.verdicts.waits_ms.append(got.got_ms - got.sent_ms)
+            if self.rng.random() < 0.3 and "ver" in got.fields:
+                self.tags[key, part] = (got.fields["ver"], body)
+        return got
+
+    def close(self) -> None:
+        """End the connection."""
+        if self.writer:
+            self.writer.close()
--- /dev/null
+++ b/standins/kills.py
@@ -0,0 +1,144 @@
+"""Kills a gateway at random moments under load, again and again, and judges every answer after each restart.
+
+    python -m standins.kills --rounds 200
+
+Load: Zipf-like reads of two classes, a fifth of them for objects wanted once, with purges of objects and
+groups all the time, also while the gateway is down. Exit code 1 if any answer was torn, older than a purge
+told, doubled or lost.
+"""
+
+import asyncio
+import random
+import shutil
+from collections import Counter
+
+import click
+import msgspec
+
+from standins.client import Terminal
+from standins.rig import LAG_MS, REPLAY_MS, Rig
+from standins.truth import now_ms
+
+OBJECTS, SCAN = 300, 0.2
+ONCE = 1 << 40
+JUDGED = ("torn", "old", "lost", "second answer", "served", "refused", "failed", "broken off")
+COUNTED = (
+    "store.hits.memory",
+    "store.hits.disk",
+    "store.hits.joined",
+    "store.confirmed",
+    "store.refuted",
+    "store.disk.puts",
+    "store.disk.torn",
+)
+
+
+async def purge_on(rig: Rig, a_second: float) -> None:
+    """Purge objects, and now and then a group, for ever."""
+    rng = random.Random(rig.rng.getrandbits(32))
+    while True:
+        await asyncio.sleep(rng.expovariate(a_second))
+        told = now_ms() + rng.uniform(31.0, min(310.0, LAG_MS))
+        if rng.random() < 0.03:
+            rig.truth.purge(None, rng.randrange(rig.truth.groups), told)
+        else:
+            rig.truth.purge(min(int(rng.paretovariate(0.7)), OBJECTS), -1, told)
+
+
+async def ask_on(rig: Rig, terminal: Terminal, busy: int) -> None:
+    """Keep some reads open on a connection until it ends."""
+    rng = terminal.rng
+
+    async def one() -> None:
+        while terminal.task and not terminal.task.done():
+            key = min(int(rng.paretovariate(0.7)), OBJECTS)
+            if rng.random() < SCAN:
+                key = ONCE + rng.getrandbits(32)
+            cls = "lookups" if key % 3 == 0 else "files"
+            await terminal.read(cls, key, rng.randrange(2))
+
+    await asyncio.gather(*(one() for _ in range(busy)))
+
+
+async def rounds(rig: Rig, many: int, tick: bool) -> Counter[str]:
+    """Play rounds; gives what happened."""
+    seen: Counter[str] = Counter()
+    purging = asyncio.create_task(purge_on(rig, 8.0))
+    for number in range(many):
+        early = rig.rng.random() < 0.1
+        await rig.launch(wait_ready=not early)
+        if early:  # killed while it starts
+            await asyncio.sleep(rig.rng.uniform(0.05, 0.6))
+            await rig.kill()
+            seen["killed while starting"] += 1
+            continue
+        terminals = [await rig.terminal() for _ in range(4)]
+        load = [asyncio.create_task(ask_on(rig, terminal, 6)) for terminal in terminals]
+        await asyncio.sleep(rig.rng.uniform(0.1, 1.6))
+        with_figures = await rig.figures()
+        for name in COUNTED:
+            seen[name] += with_figures.get(name, 0)
+        seen["suspect starts"] += any("suspect" in line or "era" in line for line in rig.lines)
+        await asyncio.sleep(rig.rng.uniform(0.0, 0.05))
+        await rig.kill()
+        await asyncio.gather(*load)
+        for terminal in terminals:
+            terminal.close()
+        if rig.rng.random() < 0.25:
+            await asyncio.sleep((REPLAY_MS + LAG_MS) / 1000.0)  # long enough for purges to be missed
+        if tick:
+            click.echo(f"\rround {number + 1} of {many}, wrong {len(rig.verdicts.wrong)}", nl=False, err=True)
+    purging.cancel()
+    return seen
+
+
+async def play(seed: int, many: int, tick: bool = False) -> dict[str, object]:
+    """Play a whole run from a seed."""
+    rig = Rig(seed)
+    rig.disk()
+    await rig.start()
+    try:
+        seen = await rounds(rig, many, tick)
+    finally:
+        await rig.kill()
+        shutil.rmtree(rig.folder, ignore_errors=True)
+    counts = rig.verdicts.counts
+    return {
+        "seed": seed,
+        "rounds": many,
+        "wrong": rig.verdicts.wrong[:20],
+        **{name: counts[name] for name in JUDGED},
+        "purges": len(rig.truth.purges),
+        **dict(sorted(seen.items())),
+    }
+
+
+@click.command()
+@click.option("--rounds", "many", default=200, show_default=True, type=click.IntRange(1, 10_000))
+@click.option("--seed", default=1, show_default=True)
+@click.option("--lanes", default=4, show_default=True, type=click.IntRange(1, 32), help="Runs side by side.")
+def main(many: int, seed: int, lanes: int) -> None:
+    """Kill a gateway at random moments and judge all that it serves."""
+
+    async def all_lanes() -> list[dict[str, object]]:
+        share = [many // lanes + (n < many % lanes) for n in range(lanes)]
+        return list(
+            await asyncio.gather(
+                *(play(seed + 1000 * n, each, n == 0) for n, each in enumerate(share) if each)
+            )
+        )
+
+    results = asyncio.run(all_lanes())
+    total: Counter[str] = Counter()
+    for result in results:
+        total.update(
+            {name: value for name, value in result.items() if isinstance(value, int) and name != "seed"}
+        )
+    click.echo(err=True)
+    wrong = [line for result in results for line in result["wrong"]]  # type: ignore[attr-defined]
+    click.echo(msgspec.json.format(msgspec.json.encode({**total, "wrong": wrong})).decode())
+    raise SystemExit(bool(wrong))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/parties.py
@@ -0,0 +1,201 @@
+"""Caches, a district cache, the head office and the event bus on asyncio.
+
+They fill, lag, fail and break off on a script.
+"""
+
+import asyncio
+import random
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from hitchtiller.codec import resp
+from standins.truth import Purge, Truth, now_ms, tag_of
+
+
+@dataclass(slots=True)
+class Script:
+    """How a server behaves; shares are of requests, times in ms."""
+
+    delay_ms: float = 1.0
+    fail: float = 0.0  # answers BROKE
+    silent: float = 0.0  # never answers
+    cut: float = 0.0  # closes in the middle of an answer
+    drop_ms: float = 200.0  # after a purge was told, until which older copies are still held
+
+
+@dataclass(slots=True)
+class Held:
+    """A copy at a cache."""
+
+    version: int
+    since_ms: float
+
+
+class Server:
+    """A station cache, a district cache or, with `origin`, the head office."""
+
+    def __init__(self, truth: Truth, script: Script, rng: random.Random, origin: bool = False) -> None:
+        """Start empty."""
+        self.truth, self.script, self.rng, self.origin = truth, script, rng, origin
+        self.held: dict[tuple[int, int], Held] = {}
+        self.pulls = self.kept = 0
+        self.asked: dict[tuple[int, int], int] = {}
+        self.port = 0
+        self.hook: Callable[[dict[str, str]], Any] | None = None  # awaited before an answer
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        commands = resp.RespReader()
+        killed: set[bytes] = set()
+        tasks = set()
+        try:
+            while data := await reader.read(65_536):
+                for word, name, *rest in commands.feed(data):
+                    if word == b"KILL":
+                        killed.add(name)
+                    elif word == b"PULL":
+                        task = asyncio.create_task(
+                            self._pull(writer, name, resp.read_fields(rest[0]), killed)
+                        )
+                        tasks.add(task)
+                        task.add_done_callback(tasks.discard)
+        except (ConnectionError, resp.BadResp, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    def _copy(self, key: int, part: int, cap_ms: float) -> Held:
+        """Give a copy that will do: the one held, or a fresh one from the head office."""
+        now, place = now_ms(), (key, part)
+        held = self.held.get(place)
+        if held and not self.origin:
+            newer = [p for p in self.truth.concerning(key) if held.since_ms <= p.at_ms]
+            gone = any(p.told_ms + self.script.drop_ms <= now for p in newer)
+            if not gone and (not cap_ms or now - held.since_ms <= cap_ms):
+                return held
+        held = self.held[place] = Held(self.truth.version(key, now), now)
+        return held
+
+    async def _pull(
+        self, writer: asyncio.StreamWriter, name: bytes, fields: dict[str, str], killed: set[bytes]
+    ) -> None:
+        self.pulls += 1
+        key, part = int(fields["name"], 16), int(fields["piece"])
+        self.asked[key, part] = self.asked.get((key, part), 0) + 1
+        script, draw = self.script, self.rng.random()
+        if self.hook:
+            await self.hook(fields)
+        await asyncio.sleep(script.delay_ms / 1000.0)
+        if draw < script.silent or name in killed:
+            return
+        if draw < script.silent + script.fail:
+            writer.write(resp.write_command(name, b"BROKE", b"-", b""))
+            return
+        copy = self._copy(key, part, float(fields.get("cap", 0)))
+        tag = tag_of(key, copy.version)
+        since = f"rev={tag},since={int(copy.since_ms)}".encode()
+        if fields.get("inm") == tag:
+            self.kept += 1
+            writer.write(resp.write_command(name, b"KEEP", since, b""))
+            return
+        answer = resp.write_command(name, b"DONE", since, self.truth.body(key, part, copy.version))
+        if draw < script.silent + script.fail + script.cut:
+            writer.write(answer[: len(answer) // 2])
+            writer.close()
+        elif not writer.is_closing():
+            writer.write(answer)
+
+
+HEAD = struct.Struct(">QB")
+
+
+@dataclass(slots=True)
+class Life:
+    """One life of a gateway as the bus numbers it.
+
+    Its list, then the purges of the last while, then what comes.
+    """
+
+    events: list[bytes] = field(default_factory=list)
+    known: list[dict[str, Any]] = field(default_factory=list)
+
+
+class Bus:
+    """The event bus.
+
+    Numbers begin anew with each life, and a start is told the purges of the last `replay_ms`.
+    """
+
+    def __init__(
+        self, truth: Truth, hosts: list[dict[str, Any]], replay_ms: float, beat_ms: float = 200.0
+    ) -> None:
+        """Tell of these hosts and of the truth's purges."""
+        self.truth, self.hosts, self.replay_ms, self.beat_ms = truth, hosts, replay_ms, beat_ms
+        self.life = Life()
+        self.told = 0  # purges of the truth that the present life has
+        self.port = 0
+        self.silent = False
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def begin(self) -> dict[str, Any]:
+        """Begin a life; gives what its configuration calls `known`."""
+        self.life = Life()
+        topology = {"seq": 1, "whole": True, "hosts": self.hosts}
+        self.life.known.append({"offset": 1, "topology": topology})
+        self.life.events.append(b"")
+        now = now_ms()
+        for purge in self.truth.purges:
+            if purge.told_ms <= now and now - purge.at_ms <= self.replay_ms:
+                self._add(purge)
+                number = len(self.life.events)
+                ban: dict[str, Any] = (
+                    {"tag": purge.group} if purge.key is None else {"url": f"{purge.key:016x}"}
+                )
+                self.life.known.append({"offset": number, "ban": ban | {"ts": int(purge.at_ms)}})
+        self.told = sum(purge.told_ms <= now for purge in self.truth.purges)
+        return {"offset": len(self.life.events), "batch": self.life.known}
+
+    def _add(self, purge: Purge) -> None:
+        number = len(self.life.events) + 1
+        if purge.key is not None:
+            payload = HEAD.pack(number, 3) + struct.pack(">QQ", purge.key, int(purge.at_ms))
+        else:
+            payload = HEAD.pack(number, 4) + struct.pack(">HQ", purge.group, int(purge.at_ms))
+        self.life.events.append(len(payload).to_bytes(4, "big") + payload)
+
+    def tell(self) -> None:
+        """Put into the present life what has come due."""
+        now = now_ms()
+        while self.told < len(self.truth.purges) and self.truth.purges[self.told].told_ms <= now:
+            self._add(self.truth.purges[self.told])
+            self.told += 1
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            last = int.from_bytes(await reader.readexactly(8), "big")
+            life, beat = self.life, 0.0
+            while life is self.life and not writer.is_closing():
+                self.tell()
+                if not self.silent:
+                    for event in life.events[last:]:
+                        writer.write(event)
+                    last = len(life.events)
+                    if now_ms() - beat >= self.beat_ms:
+                        beat = now_ms()
+                        writer.write((9).to_bytes(4, "big") + HEAD.pack(last, 0))
+                    await writer.drain()
+                await asyncio.sleep(0.01)
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
--- /dev/null
+++ b/standins/rig.py
@@ -0,0 +1,182 @@
+"""One gateway process among stand-ins: started, spoken to, killed and started again."""
+
+import asyncio
+import copy
+import json
+import os
+import random
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from standins.client import Terminal, Verdicts
+from standins.parties import Bus, Script, Server
+from standins.truth import Truth
+
+ROOT = Path(__file__).parent.parent
+REPLAY_MS = 1_500.0  # what a start is told again; the platform has 6 s
+LAG_MS = 600.0  # from a purge until the bus has it, at the most
+FRESH_MS = 1_500.0  # of the class `lookups`
+
+
+def settings() -> dict[str, Any]:
+    """Give the example's settings with a class whose copies age, and with shorter replays."""
+    setup: dict[str, Any] = copy.deepcopy(
+        json.loads((ROOT / "examples" / "config.json").read_text())["settings"]
+    )
+    lookups = {
+        "name": "lookups",
+        "aim_ms": 250.0,
+        "aim_stretch": 2.0,
+        "deadline_ms": 2500.0,
+        "effect": "repeatable",
+    }
+    setup["classes"].append(lookups)
+    info = setup["family_info"]
+    info |= {"uncached": [False, True, False], "lifetime_by_class_ms": [0.0, 0.0, FRESH_MS]}
+    info |= {
+        "grace_for_ms": [0.0, 0.0, 1000.0],
+        "gone_everywhere_ms": REPLAY_MS,
+        "feed_kb_per_s": [0.0, 500_000.0],
+    }
+    info["stream_kb_per_s"] = 60_000.0
+    return setup
+
+
+class Rig:
+    """Truth, servers, bus and a gateway; all that is drawn is drawn from one seed."""
+
+    def __init__(self, seed: int, caches: int = 2, script: Script | None = None) -> None:
+        """Prepare; nothing is started yet."""
+        self.rng, self.truth = random.Random(seed), Truth()
+        self.script = script or Script()
+        self.caches = [Server(self.truth, self.script, random.Random(seed + n)) for n in range(caches)]
+        self.parent = Server(self.truth, self.script, random.Random(seed + 50))
+        self.origin = Server(self.truth, Script(), random.Random(seed + 51), origin=True)
+        self.verdicts = Verdicts()
+        self.folder = Path(tempfile.mkdtemp(prefix="rig-"))
+        (self.folder / "tmp").mkdir()
+        self.process: asyncio.subprocess.Process | None = None
+        self.lines: list[str] = []
+        self.port = self.control = 0
+        self.ready_s = 0.0
+        self.hcl = ""
+        self.command = [sys.executable, "-m", "hitchtiller.cli", "serve"]
+        self.cwd = ROOT
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Start the servers and the bus."""
+        hosts = []
+        for place, server in enumerate([*self.caches, self.parent, self.origin]):
+            await server.start()
+            kind = {len(self.caches): "parent", len(self.caches) + 1: "origin"}.get(place, "box")
+            site = "north" if kind == "box" else "hub"
+            hosts.append(
+                {"host": f"s-{place:08x}", "dial": f"127.0.0.1:{server.port}", "site": site, "class": kind,
+                 "block": 0, "health": "Ready", "share": 50, "born_ms": 0}
+            )  # fmt: skip
+        self.bus = Bus(self.truth, hosts, REPLAY_MS)
+        await self.bus.start()
+
+    def disk(self, **more: Any) -> None:
+        """Switch both tiers on, with a folder that lasts as long as this rig."""
+        options = {"budget_mb": 24, "segment_mb": 2, "sync_ms": 100, "checkpoint_s": 0.5} | more
+        memory = options.pop("memory_mb", 1)
+        lines = "\n".join(f"    {name} = {value}" for name, value in options.items())
+        folder = self.folder / "store"
+        self.hcl = (
+            f"store {{\n  memory_mb = {memory}\n  purge_lag_ms = {LAG_MS}\n  disk {{\n"
+            f'    folder = "{folder}"\n{lines}\n  }}\n}}\n'
+        )
+
+    async def launch(self, wait_ready: bool = True) -> None:
+        """Start the gateway's next life."""
+        config = {
+            "name": "n0", "listen": "127.0.0.1:0", "control": "127.0.0.1:0", "seed": "1",
+            "limits": {"sockets": 512, "memory_mb": 512}, "bus": f"127.0.0.1:{self.bus.port}",
+            "known": self.bus.begin(), "settings": settings(),
+        }  # fmt: skip
+        path = self.folder / "config.json"
+        path.write_text(json.dumps(config))
+        command = list(self.command)
+        if self.hcl:
+            (self.folder / "gateway.hcl").write_text(self.hcl)
+            command += ["--file", str(self.folder / "gateway.hcl")]
+        env = {"PATH": os.environ["PATH"], "BALANCER_CONFIG": str(path), "TMPDIR": str(self.folder / "tmp")}
+        self.lines, self.port, begun = [], 0, time.monotonic()
+        self.process = await asyncio.create_subprocess_exec(
+            *command, cwd=self.cwd, env=env, stderr=asyncio.subprocess.PIPE, limit=1 << 20
+        )
+        if wait_ready:
+            await self.expect("INFO n0 ready")
+            self.ready_s = time.monotonic() - begun
+            task = asyncio.create_task(self._drain_log(self.process))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def expect(self, text: str, patience_s: float = 15.0) -> str:
+        """Read the log until a line holds the text."""
+        assert self.process and self.process.stderr
+        async with asyncio.timeout(patience_s):
+            while raw := await self.process.stderr.readline():
+                line = raw.decode().rstrip()
+                self.lines.append(line)
+                if "serving on" in line:
+                    self.port = int(line.split("serving on 127.0.0.1:")[1].split(",")[0])
+                if "control on" in line:
+                    self.control = int(line.rpartition(":")[2])
+                if text in line:
+                    return line
+        raise AssertionError(f"no {text!r} in {self.lines}")
+
+    async def _drain_log(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr
+        while raw := await process.stderr.readline():
+            self.lines.append(raw.decode().rstrip())
+
+    async def logged(self, text: str, patience_s: float = 10.0) -> str:
+        """Wait until the log, which is read in the background, holds a text."""
+        async with asyncio.timeout(patience_s):
+            while True:
+                for line in self.lines:
+                    if text in line:
+                        return line
+                await asyncio.sleep(0.01)
+
+    async def call(self, line: str) -> list[str]:
+        """Make an operator's call."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.control)
+        writer.write(line.encode() + b"\n")
+        data = await reader.read(-1)
+        writer.close()
+        return data.decode().splitlines()
+
+    async def figures(self) -> dict[str, int]:
+        """Give the gateway's figures by name."""
+        pairs = [
+            line.removeprefix("svc.").partition("|")[0].rpartition(":")
+            for line in await self.call("show-stat")
+        ]
+        return {name: int(value) for name, _, value in pairs if value.lstrip("-").isdecimal()}
+
+    async def terminal(self) -> Terminal:
+        """Open a client's connection."""
+        terminal = Terminal(self.truth, self.verdicts, random.Random(self.rng.getrandbits(32)))
+        await terminal.connect(self.port)
+        return terminal
+
+    async def kill(self) -> None:
+        """End the gateway as a power cut ends a process."""
+        if self.process and self.process.returncode is None:
+            self.process.kill()
+        if self.process:
+            await self.process.wait()
+
+    async def terminate(self) -> int:
+        """Let the gateway end in order; gives its exit code."""
+        assert self.process
+        self.process.terminate()
+        return await asyncio.wait_for(self.process.wait(), 10.0)
