--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,15 @@
-.PHONY: build test lint run
+.PHONY: build demo lint run test
 
-build: .venv/bin/python
+build: .venv/bin/hitchtiller
 
-.venv/bin/python: requirements.txt
-	python3 -m venv .venv
+.venv/bin/hitchtiller: requirements.txt pyproject.toml
+	test -d .venv || python3 -m venv .venv
 	.venv/bin/pip -q install -r requirements.txt
+	.venv/bin/pip -q install --no-deps --no-build-isolation -e .
+	touch .venv/bin/hitchtiller
+
+demo: build
+	.venv/bin/hitchtiller demo
 
 test: build
 	.venv/bin/python -m pytest
--- /dev/null
+++ b/hitchtiller/cli/show.py
@@ -0,0 +1,44 @@
+"""What the commands print: one JSON object, or rich tables; progress bars go to standard error."""
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+import msgspec
+from rich.console import Console
+from rich.progress import BarColumn, Progress, TextColumn, TimeRemainingColumn
+from rich.table import Table
+
+SIGNS = str.maketrans("", "", ".-%")
+
+
+def as_json(value: object) -> None:
+    """Print one object, on one line."""
+    print(msgspec.json.encode(value).decode())
+
+
+def table(title: str, columns: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
+    """Print a table; numbers stand to the right."""
+    lines = [[str(cell) for cell in row] for row in rows]
+    shown = Table(title=title, title_justify="left")
+    for place, name in enumerate(columns):
+        numbers = all(line[place].translate(SIGNS).isdecimal() for line in lines)
+        shown.add_column(name, justify="right" if numbers and lines else "left")
+    for line in lines:
+        shown.add_row(*line)
+    console = Console()
+    if not console.is_terminal:
+        console = Console(width=120)
+    console.print(shown)
+
+
+def pairs(title: str, values: Mapping[str, Any]) -> None:
+    """Print names and values."""
+    table(title, ("what", "value"), list(values.items()))
+
+
+def progress() -> Progress:
+    """Make a progress bar on standard error; it shows nothing where that is no terminal."""
+    return Progress(
+        TextColumn("{task.description}"), BarColumn(), TextColumn("{task.completed}/{task.total}"),
+        TimeRemainingColumn(), console=Console(stderr=True), transient=True,
+    )  # fmt: skip
--- a/hitchtiller/operator/model.py
+++ b/hitchtiller/operator/model.py
@@ -47,7 +47,7 @@
     policy: Annotated[
         Literal["tinylfu", "s3fifo", "lru", "lfu", "fifo"],
         Meta(description='"tinylfu", "s3fifo", "lru", "lfu" or "fifo"'),
-    ] = "tinylfu"
+    ] = "s3fifo"
     confirm: Annotated[bool, Meta(description="true or false")] = True
     purge_lag_ms: Annotated[float, Meta(ge=0, le=60_000, description="a time from 0 to 60000")] = 2000
     disk: Disk | None = None
--- a/hitchtiller/operator/read.py
+++ b/hitchtiller/operator/read.py
@@ -73,8 +73,9 @@
         body = next(node for node in _topdown(tree) if node.data == "body")
         settings = tuple(_settings(body, text))
     except UnexpectedInput as error:
-        line = max(1, min(getattr(error, "line", 1), text.count("\n") + 1))
-        shown = (text.splitlines() or [""])[min(line, len(text.splitlines()) or 1) - 1].strip()
+        lines = text.splitlines() or [""]
+        line = max(1, min(getattr(error, "line", 1), len(lines)))
+        shown = lines[line - 1].strip()
         what = f"this is not HCL, near {shown[:60]!r}"
         raise BadFile(
             [Problem(name, line, what, 'write settings as name = value, blocks as name "label" { }')]
--- a/hitchtiller/store/compact.py
+++ b/hitchtiller/store/compact.py
@@ -39,9 +39,11 @@
         if self.reading or self.open:
             return True
         if self.victim is None:
-            self.victim, self.at, self.failed, self.moved = disk.space.victim(), fmt.ALIGN, False, 0
-            if self.victim is None:
+            victim = disk.space.victim()
+            if victim is None:
                 return False
+            self.begin(victim)
+        assert self.victim
         if self.at >= self.victim.written:
             if self.failed:  # its parts could not be written elsewhere: it stays
                 self.victim = None
@@ -53,6 +55,10 @@
         self._read(self.victim)
         return True
 
+    def begin(self, victim: Segment) -> None:
+        """Start on a segment, which must be sealed."""
+        self.victim, self.at, self.failed, self.moved = victim, fmt.ALIGN, False, 0
+
     def _read(self, victim: Segment) -> None:
         start = self.at
         files = self.disk.files
--- a/hitchtiller/store/disk.py
+++ b/hitchtiller/store/disk.py
@@ -61,7 +61,7 @@
         self.health, self.counts = Health(), Counts()
         self.space = Space(options.budget, options.reserve, options.segment_bytes)
         self.space.segments = found.segments
-        self.space.next_id = max(found.segments, default=0) + 1
+        self.space.next_id = found.next_id
         self.active: Segment | None = None
         self.pending: dict[
             int, int
@@ -69,6 +69,8 @@
         self.unwritten = 0
         self.log = PurgeLog(files, jobs, self.purges, found.kept, self._failed_write)
         self.checkpoint = found.checkpoint
+        for name in found.garbage:
+            jobs.submit(WRITE_LANE, partial(files.remove, name), self._written)
         self.slices: list[bytes] | None = None  # of a checkpoint under way
         self.covered: list[fmt.Covered] = []
         self.closed = False
@@ -117,13 +119,19 @@
             if done:
                 done(not error)
 
+        before = self.pending.get(mark, 0)
+        if not only or not before:
+            self.pending[mark] = place
+        segment.size += size
+        self.unwritten += size
         if not self.jobs.submit(WRITE_LANE, run, ended):
+            segment.size -= size
+            self.unwritten -= size
+            self.pending.pop(mark, None)
+            if before:
+                self.pending[mark] = before
             self.counts.dropped += 1
             return False
-        segment.size += size
-        self.unwritten += size
-        if not only or mark not in self.pending:
-            self.pending[mark] = place
         return True
 
     def _point(self, mark: int, place: int, only: int) -> None:
@@ -247,7 +255,7 @@
             return False
         self.slices = []
         self.covered = [
-            fmt.Covered(s.id, s.written, int(s.oldest_ms) if s.oldest_ms < 1e15 else 1 << 52)
+            fmt.Covered(s.id, s.salt, s.written, int(s.oldest_ms) if s.oldest_ms < 1e15 else 1 << 52)
             for s in self.space.segments.values()
         ]
         return True
--- a/hitchtiller/store/format.py
+++ b/hitchtiller/store/format.py
@@ -29,6 +29,10 @@
     """What was read is no such thing, or not whole; the text says what did not hold."""
 
 
+class OtherVersion(BadBytes):
+    """What was read is whole, and of a version that this program can't read."""
+
+
 @dataclass(frozen=True, slots=True)
 class Part:
     """One kept part of an object, without its body.
@@ -101,7 +105,7 @@
     if magic != SEGMENT_MAGIC or check != crc(0, data[: SEGMENT_HEAD.size - 4]):
         raise BadBytes("no segment head")
     if version != VERSION:
-        raise BadBytes(f"segment of version {version}; this program reads {VERSION}")
+        raise OtherVersion(f"segment of version {version}; this program reads {VERSION}")
     return SegmentHead(id, salt, made)
 
 
@@ -190,18 +194,19 @@
     """A segment as a checkpoint knew it: up to which byte its records are in the checkpoint's index."""
 
     id: int
+    salt: int
     end: int
     oldest_ms: int
 
 
-COVERED = struct.Struct("<QQq")
+COVERED = struct.Struct("<QQQq")
 CHECK_HEAD = struct.Struct("<4sBxxxQQQ")  # magic, version, number, segments, index bytes
 
 
 def write_checkpoint(number: int, segments: list[Covered], slots: list[bytes]) -> Iterator[bytes]:
     """Write a checkpoint piece by piece: head, segments, the index's slots, a checksum over all."""
     pieces = [CHECK_HEAD.pack(CHECK_MAGIC, VERSION, number, len(segments), sum(map(len, slots)))]
-    pieces += [COVERED.pack(s.id, s.end, s.oldest_ms) for s in segments]
+    pieces += [COVERED.pack(s.id, s.salt, s.end, s.oldest_ms) for s in segments]
     check = 0
     for piece in (*pieces, *slots):
         check = crc(check, piece)
--- a/hitchtiller/store/index.py
+++ b/hitchtiller/store/index.py
@@ -101,7 +101,7 @@
             slots *= 2
         self.table, self.moved = Table(slots), 0
         self.old: Table | None = None
-        self.frozen: list[int] | None = None  # what was taken out while a checkpoint copies the slots
+        self.frozen: set[int] | None = None  # what was taken out while a checkpoint copies the slots
 
     def __len__(self) -> int:
         """Count the parts."""
@@ -127,6 +127,8 @@
         elif self.table.used >= self.table.slots * FULL and self.frozen is None:
             self.old, self.moved = self.table, 0
             self.table = Table(2 * self.old.slots)
+        if self.frozen:
+            self.frozen.discard(mark)
         before = self.old.pop(mark) if self.old else 0
         return self.table.put(mark, place) or before
 
@@ -137,7 +139,7 @@
             place = int(self.table.words[2 * at + 1])
             if place:
                 self.table.words[2 * at + 1] = 0
-                self.frozen.append(mark)
+                self.frozen.add(mark)
             return place
         if self.old:
             self._move()
@@ -191,7 +193,7 @@
         """
         if self.old or self.frozen is not None:
             return False
-        self.frozen = []
+        self.frozen = set()
         return True
 
     def snapshot(self, at: int, slots: int) -> bytes:
@@ -200,10 +202,9 @@
 
     def thaw(self) -> None:
         """End the copy, and free the slots of what was taken out meanwhile."""
-        marks, self.frozen = self.frozen or [], None
+        marks, self.frozen = self.frozen or set(), None
         for mark in marks:
-            if not self.table.words[2 * self.table.find(mark) + 1]:
-                self.table.pop(mark)
+            self.table.pop(mark)
 
     def load(self, words: memoryview, keep: frozenset[int]) -> None:
         """Take a checkpoint's slots whose segments are still there."""
--- a/hitchtiller/store/jobs.py
+++ b/hitchtiller/store/jobs.py
@@ -9,6 +9,7 @@
 import os
 import queue
 import threading
+import time
 from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -51,7 +52,8 @@
         """Start the threads; each lane holds at most `depth` calls."""
         self.sched = sched
         self.queues: dict[str, queue.Queue[tuple[Callable[[], Any], Done] | None]] = {}
-        self.results: deque[tuple[Done, Any, BaseException | None]] = deque()
+        self.results: deque[tuple[str, Done, Any, BaseException | None]] = deque()
+        self.open = dict.fromkeys((READ_LANE, WRITE_LANE, LOG_LANE), 0)  # submitted and not handed over
         self.ear, self.mouth = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
         self.threads: list[threading.Thread] = []
         for lane, many in ((READ_LANE, readers), (WRITE_LANE, 1), (LOG_LANE, 1)):
@@ -64,16 +66,13 @@
                 self.threads.append(thread)
         sched.spawn(self._hear)
 
-    def waiting(self, lane: str) -> int:
-        """Count the calls that wait in a lane."""
-        return self.queues[lane].qsize()
-
     def submit(self, lane: str, run: Callable[[], Any], done: Done) -> bool:
         """Queue a call; False if its lane is full."""
         try:
             self.queues[lane].put_nowait((run, done))
         except queue.Full:
             return False
+        self.open[lane] += 1
         return True
 
     def _work(self, lane: str) -> None:
@@ -84,7 +83,7 @@
                 result = run()
             except Exception as fault:  # noqa: BLE001  it is the loop's to judge
                 error = fault
-            self.results.append((done, result, error))
+            self.results.append((lane, done, result, error))
             with contextlib.suppress(BlockingIOError):  # full: the loop has been told already
                 os.write(self.mouth, b"\0")
 
@@ -100,12 +99,20 @@
     def drain(self) -> None:
         """Hand over what has ended; a fault in one hand-over ends that one alone."""
         while self.results:
-            done, result, error = self.results.popleft()
+            lane, done, result, error = self.results.popleft()
+            self.open[lane] -= 1
             try:
                 done(result, error)
             except Exception:  # noqa: BLE001  one copy's fault must not stop the others
                 logger.exception("a result of the store's could not be taken")
 
+    def settle(self, patience_s: float) -> None:
+        """Wait, outside the loop, until the queues are empty and what ended is handed over."""
+        until = time.monotonic() + patience_s
+        while time.monotonic() < until and (self.results or any(self.open.values())):
+            self.drain()
+            time.sleep(0.001)
+
     def close(self, patience_s: float = 1.0) -> bool:
         """End the threads once their queues are empty; False if one is stuck in a call past the patience."""
         for lane, lane_queue in self.queues.items():
--- a/hitchtiller/store/keeper.py
+++ b/hitchtiller/store/keeper.py
@@ -13,7 +13,6 @@
 
 from greenlet import getcurrent
 
-from hitchtiller.front.leave import DRAINED, SERVING
 from hitchtiller.front.server import Front
 from hitchtiller.log import logger
 from hitchtiller.sched import Scheduler, now_ms
@@ -44,10 +43,11 @@
         options: Options,
         jobs: Threads,
         rate: Rate,
+        open_files: Callable[[Path], OsFiles] = OsFiles,
     ) -> None:
         """Look after a folder; nothing is opened before `run`."""
         self.sched, self.tier, self.front, self.folder = sched, tier, front, folder
-        self.options, self.jobs, self.rate = options, jobs, rate
+        self.options, self.jobs, self.rate, self.open_files = options, jobs, rate, open_files
         self.files: OsFiles | None = None
         self.disk: Disk | None = None
         self.compactor: Compactor | None = None
@@ -61,7 +61,7 @@
             self.sched.sleep(wait)
 
     def _wanted(self) -> bool:
-        return self.front.state in (SERVING, DRAINED) and self.tier.proof.begun
+        return not self.front.leave.handed and self.tier.proof.begun
 
     def _call(self, run: Callable[[], Any], lane: str = LOG_LANE) -> Any:
         """Run a call off the loop and wait for it in this greenlet; its error is raised here."""
@@ -74,7 +74,7 @@
         return result
 
     def _open(self) -> OsFiles | None:
-        files = OsFiles(self.folder)
+        files = self.open_files(self.folder)
         if files.lock():
             return files
         files.close()
@@ -133,6 +133,7 @@
     def _leave(self, disk: Disk) -> None:
         """Write a checkpoint, wait for what is queued, and let go of the folder."""
         self.tier.detach()
+        self._call(lambda: None, WRITE_LANE)  # what is queued belongs into the checkpoint
         if disk.health.writes:
             disk.mark_followed()
             disk.save()
@@ -149,9 +150,10 @@
             self.files = None
 
     def finish(self) -> None:
-        """End the threads at the end of the process; what is queued is written, within a second."""
+        """End the threads at the end of the process; what is queued is written, within 1.5 s."""
         disk = self.disk
         if disk and not disk.closed and disk.health.writes:
+            self.jobs.settle(0.5)  # what is queued belongs into the checkpoint
             disk.mark_followed()
             disk.save()
         self.jobs.close(1.0)
--- a/hitchtiller/store/memory.py
+++ b/hitchtiller/store/memory.py
@@ -24,7 +24,7 @@
 class Memory:
     """Copies by fingerprint; `owner` is the class, or the class at a station."""
 
-    def __init__(self, room: int, weights: dict[str, float] | None = None, policy: str = "tinylfu") -> None:
+    def __init__(self, room: int, weights: dict[str, float] | None = None, policy: str = "s3fifo") -> None:
         """Hold `room` bytes, OVERHEAD a part included."""
         self.room = room
         self.copies: dict[int, Copy] = {}
--- a/hitchtiller/store/recover.py
+++ b/hitchtiller/store/recover.py
@@ -10,7 +10,7 @@
 
 from hitchtiller.store import format as fmt
 from hitchtiller.store.files import Files
-from hitchtiller.store.index import Index, fingerprint, pack_place, unpack_place
+from hitchtiller.store.index import SLOT, Index, fingerprint, pack_place, unpack_place
 from hitchtiller.store.purges import Purges
 from hitchtiller.store.space import Segment
 from hitchtiller.store.suspect import Kept
@@ -47,6 +47,8 @@
     kept: Kept = field(default_factory=Kept)
     checkpoint: int = 0  # its number; 0: none was used
     scanned: int = 0  # records read one by one
+    next_id: int = 1  # above all numbers that were ever in a checkpoint or the folder
+    garbage: list[str] = field(default_factory=list)  # files whose head was never whole
     notes: list[str] = field(default_factory=list)
 
 
@@ -95,7 +97,7 @@
     return None
 
 
-def read_segments(files: Files, notes: list[str]) -> dict[int, tuple[Segment, int]]:
+def read_segments(files: Files, state: Recovered) -> dict[int, tuple[Segment, int]]:
     """Give the segments whose head holds, with the lengths of their files."""
     found: dict[int, tuple[Segment, int]] = {}
     for id in numbered(files.names(), SEGMENT):
@@ -105,7 +107,10 @@
                 raise fmt.BadBytes(f"it says it is segment {head.id}")
             found[id] = (Segment(id, head.salt, sealed=True), files.size(segment_name(id)))
         except fmt.BadBytes as error:
-            notes.append(f"{segment_name(id)}: {error}")
+            state.notes.append(f"{segment_name(id)}: {error}")
+            if not isinstance(error, fmt.OtherVersion):
+                state.garbage.append(segment_name(id))
+        state.next_id = max(state.next_id, id + 1)
     return found
 
 
@@ -153,13 +158,17 @@
     """Read a folder; OSError if it can't be read. `tick` hears of each segment done."""
     state = Recovered()
     logged = read_purges(files, state)
-    found = read_segments(files, state.notes)
+    found = read_segments(files, state)
     covered: dict[int, fmt.Covered] = {}
     if use_checkpoint and logged:
         covered, slots = _checkpoint(files, state)
         if slots is not None:
-            keep = frozenset(id for id in found if id in covered)
-            state.index = Index(len(slots) // 32)
+            # guards against a number that was used again: a segment made since is not the one that was
+            # covered
+            state.next_id = max(state.next_id, *(id + 1 for id in covered), 1)
+            covered = {id: c for id, c in covered.items() if id in found and found[id][0].salt == c.salt}
+            keep = frozenset(covered)
+            state.index = Index(len(slots) // SLOT * 3 // 4)
             state.index.load(slots, keep)
     eras = 0
     for id, (segment, size) in found.items():
@@ -168,7 +177,8 @@
         if id in covered:
             start = covered[id].end
             segment.oldest_ms = covered[id].oldest_ms
-        segment.size = segment.written = segment.durable = max(start, size)
+        segment.size = segment.written = max(start, size)
+        segment.durable = covered[id].end if id in covered else 0
         for at, length, part in records(files, segment, start, size, state.notes.append):
             state.scanned += 1
             state.index.put(fingerprint(part.key, part.part), pack_place(id, at, length))
--- a/hitchtiller/store/tier.py
+++ b/hitchtiller/store/tier.py
@@ -77,6 +77,7 @@
         if copy and self.plan.fits(copy.part, ask):
             state = self.plan.judge(copy.part, now)
             if state is State.FRESH:
+                self._write(copy.part, copy.body, mark)
                 return self._serve(exchange, copy, "memory")
             self._hold(exchange, copy, state, mark)
         else:
@@ -292,12 +293,18 @@
         """Keep a part in memory and, if it was asked for before, on disk."""
         self.memory.put(part.class_name, part, body)
         mark = fingerprint(part.key, part.part)
-        if (
-            self.disk
-            and self.disk.health.writes
-            and (mark in self.disk or self.sketch.count(mark) > DISK_COUNT)
-        ):
-            self.disk.put(part, body)
+        if self.disk and mark in self.disk:
+            self.disk.put(part, body)  # what is there is older
+        else:
+            self._write(part, body, mark)
+
+    def _write(self, part: Part, body: bytes, mark: int) -> None:
+        """Write a copy to disk if it is not there and was asked for before."""
+        disk = self.disk
+        if disk is None or not disk.health.writes or mark in disk or mark in disk.pending:
+            return
+        if self.sketch.count(mark) > DISK_COUNT:
+            disk.put(part, body)
 
     def _forget(self, mark: int) -> None:
         self.memory.drop(mark)
--- /dev/null
+++ b/standins/crashpoints.py
@@ -0,0 +1,177 @@
+"""Crashes a disk tier between and inside its file calls, and judges what the next start serves.
+
+    python -m standins.crashpoints --points 2000
+
+A point is a run of puts, purges, checkpoints and compactions on a folder in memory that stops at one call;
+what was not durable is kept, torn, reordered or lost at random. The next start, which the bus tells only the
+purges of the last while, must serve only bytes that were once right, none that any purge forbids, and must
+have all that an fsync had covered. Several crashes follow each other on one folder. Exit code 1 if anything
+was served wrongly or lost.
+"""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+import click
+import msgspec
+
+from hitchtiller.store import recover
+from hitchtiller.store.compact import Compactor
+from hitchtiller.store.disk import Disk, Options
+from hitchtiller.store.format import Part
+from hitchtiller.store.index import unpack_place
+from hitchtiller.store.jobs import Inline
+from hitchtiller.store.space import Rate
+from hitchtiller.store.suspect import Proof
+from standins.files import Crash, SimFiles
+from standins.truth import make_body
+
+OPTIONS = Options(budget=400_000, segment_bytes=32_768, queue_bytes=1 << 20)
+KEYS, REPLAY_MS = 40, 2_000.0
+
+
+@dataclass(slots=True)
+class Model:
+    """A plain model of what was told and acknowledged; times in ms of its own clock."""
+
+    now: float = 1_000_000.0
+    version: dict[int, int] = field(default_factory=dict)  # in force, by object
+    told: dict[int, float] = field(default_factory=dict)  # the last purge, acknowledged or not
+    durable: dict[int, tuple[int, int]] = field(default_factory=dict)  # places covered by an fsync
+
+
+class Run:
+    """One folder through several lives."""
+
+    def __init__(self, seed: int) -> None:
+        """Draw all from the seed."""
+        self.rng = random.Random(seed)
+        self.files = SimFiles(self.rng)
+        self.model = Model()
+        self.counts: Counter[str] = Counter()
+        self.wrong: list[str] = []
+        self.disk: Disk | None = None
+
+    def open(self) -> Disk:
+        """Start as a gateway does: read the folder, hear the bus, take over the era."""
+        found = recover.load(self.files)
+        proof = Proof(found.kept, REPLAY_MS, 100.0)
+        disk = self.disk = Disk(self.files, Inline(), OPTIONS, found, proof)
+        self.counts["gaps"] += proof.begin(self.model.now, self.model.now)
+        disk.mark_era()
+        for key, at in self.model.told.items():  # the bus tells those of the last while again
+            if at >= self.model.now - REPLAY_MS:
+                disk.purge(key, -1, at)
+        return disk
+
+    def live(self, steps: int) -> None:
+        """Work until the crash, or for so many steps."""
+        disk, model, rng = self.disk or self.open(), self.model, self.rng
+        compactor = Compactor(disk, lambda mark: mark & 3, Rate(1e12, 1e12, 1e12))
+        for _ in range(steps):
+            model.now += rng.uniform(1.0, 400.0)
+            key, draw = rng.randrange(KEYS), rng.random()
+            if draw < 0.62:
+                version = model.version.get(key, 0)
+                part = Part(key, 0, key % 4, "files", int(model.now), f"v{version}", disk.proof.era)
+                disk.put(part, make_body(key, 0, version, rng.randrange(10, 6_000)))
+            elif draw < 0.77:
+                model.version[key] = model.version.get(key, 0) + 1
+                model.told[key] = model.now
+                disk.purge(key, -1, model.now)
+            elif draw < 0.85:
+                disk.sync()
+            elif draw < 0.9:
+                disk.proof.follow(model.now)
+                disk.mark_followed()
+            elif draw < 0.94:
+                disk.save()
+            else:
+                while compactor.step(model.now, False):
+                    pass
+            self._note_durable(disk)
+
+    def _note_durable(self, disk: Disk) -> None:
+        """Note which parts an fsync of their segment has covered, with the place they have."""
+        self.model.durable.clear()
+        for mark, place in disk.index.items():
+            id, at, length = unpack_place(place)
+            segment = disk.space.segments.get(id)
+            if segment and at + length <= segment.durable:
+                self.model.durable[mark] = (id, at)
+
+    def crash(self) -> None:
+        """Stop the machine, and give the folder as it is found."""
+        if self.disk:  # what compaction let go of in the step that was cut short is not lost but evicted
+            index = self.disk.index
+            self.model.durable = {
+                mark: place for mark, place in self.model.durable.items() if index.get(mark)
+            }
+        self.files = self.files.crash()
+        self.files.crash_at = 0
+        self.disk = None
+        self.model.now += self.rng.choice((10.0, 500.0, 5_000.0))
+
+    def judge(self) -> None:
+        """Start, and look at all that could be served."""
+        disk, model = self.open(), self.model
+        where = {mark: unpack_place(place)[:2] for mark, place in disk.index.items()}
+        for mark, place in model.durable.items():
+            # a compaction may have carried it on; what counts is that it is there
+            if mark not in where:
+                self.wrong.append(f"lost: a part that an fsync covered at {place}")
+        for key in range(KEYS):
+            disk.get(key, 0, lambda part, body, key=key: self._served(key, part, body))  # type: ignore[misc]
+        self.counts["crashes"] += 1
+        self.counts["parts"] += len(disk.index)
+
+    def _served(self, key: int, part: Part | None, body: bytes) -> None:
+        disk, model = self.disk, self.model
+        if part is None or disk is None:
+            self.counts["unreadable"] += 1
+            return
+        version = int(part.tag[1:])
+        if body != make_body(key, 0, version, len(body)) or part.key != key:
+            self.wrong.append(f"torn: object {key}")
+        allowed = disk.purges.allows(part.key, part.group, part.since_ms)
+        proven = disk.proof.proven(part.era, part.since_ms, model.now)
+        self.counts["proven" if allowed and proven else "suspect or dead"] += 1
+        if allowed and proven and version < model.version.get(key, 0):
+            self.wrong.append(f"old: object {key}, version {version} of {model.version[key]}")
+
+
+def point(seed: int, crashes: int = 4) -> Run:
+    """Play one seed: `crashes` lives on one folder, each ended at a random call."""
+    run = Run(seed)
+    for _ in range(crashes):
+        run.files.crash_at = run.files.calls + run.rng.randrange(1, 400)
+        try:
+            run.live(120)
+        except Crash:
+            run.counts["in a call"] += 1
+        run.crash()
+        run.judge()
+    return run
+
+
+@click.command()
+@click.option("--points", default=2000, show_default=True, type=click.IntRange(1, 10_000_000))
+@click.option("--seed", default=1, show_default=True)
+def main(points: int, seed: int) -> None:
+    """Crash a disk tier at simulated points."""
+    counts: Counter[str] = Counter()
+    wrong: list[str] = []
+    while counts["crashes"] < points:
+        run = point(seed)
+        counts.update(run.counts)
+        wrong += [f"seed {seed}: {line}" for line in run.wrong]
+        seed += 1
+        click.echo(f"\r{counts['crashes']} of {points}, wrong {len(wrong)}", nl=False, err=True)
+    click.echo(err=True)
+    click.echo(msgspec.json.format(msgspec.json.encode({**counts, "wrong": wrong[:20]})).decode())
+    raise SystemExit(bool(wrong))
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/rig.py
+++ b/standins/rig.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import re
 import sys
 import tempfile
 import time
@@ -15,6 +16,7 @@
 from standins.parties import Bus, Script, Server
 from standins.truth import Truth
 
+PORT = re.compile(r"127\.0\.0\.1:(\d+)")
 ROOT = Path(__file__).parent.parent
 REPLAY_MS = 1_500.0  # what a start is told again; the platform has 6 s
 LAG_MS = 600.0  # from a purge until the bus has it, at the most
@@ -113,7 +115,7 @@
         if wait_ready:
             await self.expect("INFO n0 ready")
             self.ready_s = time.monotonic() - begun
-            task = asyncio.create_task(self._drain_log(self.process))
+            task = asyncio.create_task(self._drain_log(self.process, self.lines))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
@@ -125,17 +127,17 @@
                 line = raw.decode().rstrip()
                 self.lines.append(line)
                 if "serving on" in line:
-                    self.port = int(line.split("serving on 127.0.0.1:")[1].split(",")[0])
+                    self.port = int(PORT.findall(line)[-1])
                 if "control on" in line:
-                    self.control = int(line.rpartition(":")[2])
+                    self.control = int(PORT.findall(line)[-1])
                 if text in line:
                     return line
         raise AssertionError(f"no {text!r} in {self.lines}")
 
-    async def _drain_log(self, process: asyncio.subprocess.Process) -> None:
+    async def _drain_log(self, process: asyncio.subprocess.Process, lines: list[str]) -> None:
         assert process.stderr
         while raw := await process.stderr.readline():
-            self.lines.append(raw.decode().rstrip())
+            lines.append(raw.decode().rstrip())
 
     async def logged(self, text: str, patience_s: float = 10.0) -> str:
         """Wait until the log, which is read in the background, holds a text."""
--- /dev/null
+++ b/tests/store/test_store_admission.py
@@ -0,0 +1,120 @@
+"""Admission and eviction: bounds by bytes, resistance to scans, shares."""
+
+import random
+
+import pytest
+from tiers import part
+
+from hitchtiller.cli.replay import draw, play, read_trace
+from hitchtiller.store.admission import POLICIES, S3Fifo, Shares, TinyLfu
+from hitchtiller.store.memory import OVERHEAD, Memory
+from hitchtiller.store.sketch import MOST, Sketch
+
+
+@pytest.mark.parametrize("name", POLICIES)
+def test_a_policy_never_holds_more_than_its_room_and_tells_all_that_goes(name: str) -> None:
+    rng, room = random.Random(5), 10_000
+    policy, held = POLICIES[name](room), dict[int, int]()
+    for step in range(20_000):
+        key = int(rng.paretovariate(0.6))
+        if step == 10_000:
+            room = 4_000
+            for gone in policy.trim(room):
+                del held[gone]
+        if key in policy:
+            assert key in held
+            policy.hit(key)
+        elif rng.random() < 0.05 and held:
+            old = rng.choice(list(held))
+            policy.drop(old)
+            del held[old]
+        else:
+            size = rng.randrange(1, 3_000)
+            policy.miss(key)
+            gone = policy.offer(key, size)
+            held[key] = size
+            assert len(gone) == len(set(gone))
+            for old in gone:
+                del held[old]
+        assert policy.used == sum(held.values()) <= room
+    assert all(key in policy for key in held)
+    assert policy.offer(1 << 50, room + 1) == [1 << 50]
+
+
+def test_a_scan_costs_the_chosen_policy_at_most_3_points_and_lru_more() -> None:
+    args = {"requests": 30_000, "objects": 4_000, "zipf": 0.95, "drift": 0.0}
+    lost = {}
+    for name in ("s3fifo", "lru"):
+        calm, scan = (play(name, 6_000_000, draw(1, scan=scan, **args)) for scan in (0.0, 0.2))
+        lost[name] = 100.0 * (calm - scan)
+    assert lost["s3fifo"] <= 3.0 < lost["lru"] + 1.0
+    assert lost["s3fifo"] < lost["lru"]
+
+
+def test_what_failed_its_trial_and_comes_again_is_let_into_the_main_queue() -> None:
+    policy = S3Fifo(1000)
+    for key in range(10):
+        policy.offer(key, 100)
+    assert policy.offer(10, 100) == [0]
+    policy.offer(0, 100)
+    assert 0 in policy.main
+
+
+def test_a_large_entry_does_not_push_out_many_small_ones_for_one_request() -> None:
+    policy = TinyLfu(10_000, Sketch(1024))
+    for key in range(1, 101):
+        for _ in range(3):
+            policy.miss(key)
+        policy.offer(key, 95)
+    kept = sum(key in policy for key in range(1, 101))
+    policy.miss(999)
+    policy.offer(999, 5_000)
+    policy.offer(998, 400)
+    assert sum(key in policy for key in range(1, 101)) >= kept - 6
+
+
+def test_one_owner_can_not_empty_anothers_share() -> None:
+    shares = Shares(100_000, {"files": 3.0, "lookups": 1.0}, POLICIES["s3fifo"])
+    for key in range(50):
+        shares.offer("lookups", key, 400)
+    assert shares.used == 20_000
+    for key in range(1000, 3000):
+        shares.offer("files", key, 1_000)
+    assert sum(key in shares for key in range(50)) == 50
+    assert shares.owners["files"].used <= 75_000
+    shares.trimmed()
+    for key in range(100, 400):
+        shares.offer("lookups", key, 1_000)
+    assert shares.owners["lookups"].used <= 25_000 and shares.owners["files"].used > 70_000
+
+
+def test_a_new_owner_takes_room_from_the_others_and_memory_lets_go_of_it() -> None:
+    memory = Memory(100 * (1000 + OVERHEAD))
+    for key in range(100):
+        memory.put("files", part(key), bytes(1000))
+    assert len(memory.copies) == 100
+    memory.put("lookups", part(500), bytes(1000))
+    assert len(memory.copies) <= 51 and memory.used <= memory.room
+    assert set(memory.copies) == set(memory.shares.of)
+
+
+def test_the_sketch_counts_ages_and_passes_over_one_offs() -> None:
+    sketch = Sketch(1 << 12, sample=20_000)
+    rng = random.Random(1)
+    for _ in range(10):
+        sketch.add(7)
+    assert 9 <= sketch.count(7) <= MOST + 1
+    for _ in range(3_000):
+        sketch.add(rng.getrandbits(64))
+    unseen = [sketch.count(rng.getrandbits(64)) for _ in range(2_000)]
+    assert sum(count >= 2 for count in unseen) < 40
+    for _ in range(30_000):
+        sketch.add(rng.getrandbits(64))
+    assert sketch.count(7) <= 8
+
+
+def test_a_trace_that_is_none_names_its_line(tmp_path: object) -> None:
+    file = tmp_path / "trace"  # type: ignore[operator]
+    file.write_text("# sizes\nab 10\nab ten\n")
+    with pytest.raises(ValueError, match=r"trace:3: 'ab ten' is not KEY SIZE"):
+        read_trace(file)
--- /dev/null
+++ b/tests/store/test_store_disk.py
@@ -0,0 +1,314 @@
+"""The disk tier on a folder that fails by plan, and through crashes, against a plain model."""
+
+import errno
+import random
+from pathlib import Path
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from tiers import SMALL, START, part
+
+from hitchtiller.store import format as fmt
+from hitchtiller.store import recover
+from hitchtiller.store.compact import Compactor
+from hitchtiller.store.disk import Disk, Options
+from hitchtiller.store.files import OsFiles
+from hitchtiller.store.health import OFF, READ_ONLY
+from hitchtiller.store.index import fingerprint
+from hitchtiller.store.jobs import Inline
+from hitchtiller.store.space import Rate
+from hitchtiller.store.suspect import Proof
+from standins.crashpoints import Run, point
+from standins.files import Crash, SimFiles
+from standins.truth import make_body
+
+FAST = Rate(1e12, 1e12, 1e12)
+
+
+def opened(files: SimFiles | OsFiles, now: float = START, options: Options = SMALL) -> Disk:
+    found = recover.load(files)
+    proof = Proof(found.kept, 6000.0, 500.0)
+    disk = Disk(files, Inline(), options, found, proof)
+    proof.begin(now, 0.0)
+    disk.mark_era()
+    return disk
+
+
+def put(disk: Disk, key: int, size: int = 1000, since: float = START) -> bytes:
+    body = make_body(key, 0, 0, size)
+    assert disk.put(part(key, since=int(since), era=disk.proof.era), body)
+    return body
+
+
+def get(disk: Disk, key: int) -> bytes | None:
+    got: list[bytes | None] = []
+    if not disk.get(key, 0, lambda p, body: got.append(body if p else None)):
+        return None
+    return got[0]
+
+
+def fail(code: int, only: str = "") -> object:
+    return lambda name: OSError(code, "planned") if only in name else None
+
+
+def test_what_was_put_is_read_and_a_start_finds_it_with_and_without_a_checkpoint() -> None:
+    files = SimFiles()
+    disk = opened(files)
+    bodies = {key: put(disk, key) for key in range(60)}
+    disk.save()
+    bodies |= {key: put(disk, key) for key in range(60, 70)}
+    disk.sync()
+    for use in (True, False):
+        found = recover.load(files, use)
+        assert len(found.index) == 70 and found.scanned == (10 if use else 70)
+        assert sum(s.live for s in found.segments.values()) == sum(
+            s.live for s in disk.space.segments.values()
+        )
+    again = opened(files)
+    assert {key: get(again, key) for key in bodies} == bodies
+
+
+@pytest.mark.parametrize("code", [errno.ENOSPC, errno.EIO, errno.EROFS])
+def test_a_failed_write_ends_writing_and_reads_go_on(code: int) -> None:
+    files = SimFiles()
+    disk = opened(files)
+    body = put(disk, 1)
+    files.faults["write"] = fail(code, "segment")  # type: ignore[assignment]
+    disk.put(part(2, era=disk.proof.era), b"x")
+    assert disk.health.state == READ_ONLY and get(disk, 1) == body and get(disk, 2) is None
+    del files.faults["write"]
+    assert not disk.put(part(3, era=disk.proof.era), b"x") and disk.counts.dropped
+    assert len(recover.load(files).index) == 1
+
+
+def test_a_failed_fsync_is_never_trusted_afterwards() -> None:
+    files = SimFiles()
+    disk = opened(files)
+    put(disk, 1)
+    files.faults["sync"] = fail(errno.EIO, "segment")  # type: ignore[assignment]
+    disk.sync()
+    del files.faults["sync"]
+    assert disk.health.state == READ_ONLY
+    disk.sync()
+    assert disk.active and disk.active.durable == 0, "a later fsync that succeeds proves nothing"
+
+
+def test_after_a_failed_log_the_watermark_stands_still_and_the_next_start_finds_the_gap() -> None:
+    files = SimFiles()
+    disk = opened(files)
+    put(disk, 1)
+    disk.proof.follow(START + 1000.0)
+    disk.mark_followed()
+    files.faults["sync"] = fail(errno.EIO, "purges")  # type: ignore[assignment]
+    told: list[bool] = []
+    disk.purge(1, 3, START + 2000.0, lambda: told.append(True))
+    del files.faults["sync"]
+    disk.proof.follow(START + 60_000.0)
+    disk.mark_followed()
+    assert not told and not disk.health.writes
+    again = opened(files, START + 61_000.0)
+    assert again.proof.era == disk.proof.era + 1 and not again.proof.proven(1, START, START + 61_000.0)
+
+
+def test_a_folder_that_is_gone_switches_the_tier_off(tmp_path: Path) -> None:
+    files = OsFiles(tmp_path / "store")
+    disk = opened(files)
+    put(disk, 1)
+    disk.health.wrote(OSError(errno.ESTALE, "gone"))
+    assert disk.health.state == OFF and get(disk, 1) is None
+    files.close()
+
+
+def test_segments_that_can_not_be_read_are_left_and_three_end_the_tier() -> None:
+    files = SimFiles()
+    disk = opened(files)
+    for key in range(150):
+        put(disk, key)
+    files.faults["read"] = fail(errno.EIO)  # type: ignore[assignment]
+    for key in range(150):
+        assert get(disk, key) is None
+    assert disk.health.state == OFF and len(disk.health.spoilt) == 3
+
+
+def test_a_rotten_byte_costs_its_record_alone() -> None:
+    files = SimFiles()
+    disk = opened(files)
+    bodies = {key: put(disk, key) for key in range(10)}
+    disk.sync()
+    name = recover.segment_name(1)
+    files.nodes[name].durable[64 + 1200] ^= 1  # in the first record's body or the second's head
+    wrong = [key for key in bodies if get(disk, key) is None]
+    assert len(wrong) == 1 and disk.counts.torn == 1
+    found = recover.load(files)
+    assert len(found.index) in (9, 10)
+    files.nodes[name].durable[64] ^= 1  # the first head: the scan goes on behind it
+    assert len(recover.load(files).index) >= 8
+
+
+def test_a_record_within_a_body_is_never_found_by_a_scan() -> None:
+    files = SimFiles()
+    disk = opened(files)
+    inner = fmt.write_record(part(666, era=1), b"planted", disk.space.next_id, 64).ljust(4096, b"\0")
+    disk.put(part(1, era=disk.proof.era), b"\0" * 3 + inner)
+    put(disk, 2)
+    files.nodes[recover.segment_name(1)].content()
+    node = files.nodes[recover.segment_name(1)]
+    node.durable, node.waiting = node.content(), []
+    node.durable[64] ^= 1  # the outer head does not hold any more
+    index = recover.load(files).index
+    assert not index.get(fingerprint(666, 0)) and index.get(fingerprint(2, 0))
+
+
+def test_compaction_carries_what_is_wanted_and_never_undoes_a_newer_record() -> None:
+    files = SimFiles()
+    disk = opened(files)
+    bodies = {key: put(disk, key) for key in range(28)}
+    for key in range(20):
+        disk.forget(fingerprint(key, 0))
+    for key in (100, 101, 102):  # the first segment is full then, and sealed
+        put(disk, key)
+    victim = disk.space.segments[1]
+    assert victim.dead > victim.size / 2
+    newer = make_body(25, 0, 1, 900)
+    disk.put(part(25, since=int(START), era=disk.proof.era, tag="t2"), newer)
+    compactor = Compactor(disk, lambda mark: 2, FAST)
+    while compactor.step(START, False):
+        pass
+    assert recover.segment_name(1) not in files.nodes and compactor.segments >= 1
+    assert get(disk, 25) == newer and all(get(disk, key) == bodies[key] for key in (20, 21, 24, 26, 27))
+    assert all(get(disk, key) is None for key in range(20))
+    assert len(recover.load(files).index) == len(disk.index)
+
+
+def test_a_full_budget_goes_on_taking_what_is_new() -> None:
+    files = SimFiles()
+    disk = opened(files)
+    compactor = Compactor(disk, lambda mark: 2, FAST)
+    for key in range(1500):
+        disk.put(part(key, since=int(START), era=disk.proof.era), bytes(1000))
+        while compactor.step(START, False):
+            pass
+        assert sum(files.size(name) for name in files.names() if name.startswith("segment")) <= SMALL.budget
+    assert sum(get(disk, key) is not None for key in range(1400, 1500)) > 90
+    assert not disk.counts.dropped
+
+
+def test_a_number_that_was_used_before_is_never_used_again_while_a_checkpoint_names_it() -> None:
+    """A new segment of an old number was scanned only from where the old one had ended."""
+    files = SimFiles()
+    disk = opened(files)
+    for key in range(20):
+        put(disk, key)
+    disk.save()
+    disk.remove(disk.space.segments[1])
+    again = opened(files)
+    put(again, 77, 300)
+    assert again.active and again.active.id == 2
+    assert recover.load(files).index.get(fingerprint(77, 0))
+
+
+def test_a_lost_log_makes_every_copy_suspect() -> None:
+    files = SimFiles()
+    disk = opened(files)
+    put(disk, 1)
+    disk.sync()
+    era = disk.proof.era
+    files.remove(recover.LOG)
+    again = opened(files, START + 10.0)
+    assert again.proof.era == era + 1 and get(again, 1) is not None
+
+
+def test_records_wait_until_their_era_is_durable() -> None:
+    """A crash would have given the same era to the next life, with this life's records in it."""
+    files = SimFiles()
+    found = recover.load(files)
+    disk = Disk(files, Inline(), SMALL, found, Proof(found.kept, 6000.0))
+    disk.proof.begin(START, 0.0)
+    assert not disk.put(part(1, era=disk.proof.era), b"x")
+    disk.mark_era()
+    assert disk.put(part(1, era=disk.proof.era), b"x")
+
+
+def test_one_owner_at_a_time(tmp_path: Path) -> None:
+    first, second = OsFiles(tmp_path), OsFiles(tmp_path)
+    assert first.lock() and not second.lock()
+    first.close()
+    assert second.lock()
+    second.close()
+
+
+def test_files_of_the_machine_read_write_and_rename(tmp_path: Path) -> None:
+    files = OsFiles(tmp_path)
+    for number in range(100):  # more than are kept open
+        files.write(f"f{number}", 3, b"abc")
+    assert files.read("f0", 0, 100) == b"\0\0\0abc" and files.read("f0", 3, 2) == b"ab"
+    files.rename("f0", "f1")
+    files.sync("f1")
+    files.sync_folder()
+    files.remove("f1")
+    files.remove("f1")
+    assert "f1" not in files.names() and files.size("f2") == 6
+    with pytest.raises(FileNotFoundError):
+        files.read("f1", 0, 1)
+    files.close()
+
+
+@pytest.mark.parametrize("seed", range(1, 26))
+def test_crashes_serve_nothing_wrong_and_lose_nothing_durable(seed: int) -> None:
+    run = point(seed)
+    assert not run.wrong
+    assert run.counts["proven"] + run.counts["suspect or dead"] > 20
+
+
+def test_the_judge_of_crashes_notices_trust_without_proof(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Proof, "proven", lambda *_: True)
+    assert any("old" in line for seed in range(1, 15) for line in point(seed).wrong)
+
+
+class Machine(RuleBasedStateMachine):
+    """Put, get, purge, crash, recover and clock steps against the crash rig's plain model."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.run = Run(random.Random(0).getrandbits(30))
+        self.run.open()
+
+    @rule(steps=st.integers(1, 30), at=st.integers(1, 200))
+    def live(self, steps: int, at: int) -> None:
+        """Work, and maybe crash in the middle of a call."""
+        self.run.files.crash_at = self.run.files.calls + at
+        try:
+            self.run.live(steps)
+        except Crash:
+            self.run.crash()
+            self.run.judge()
+        self.run.files.crash_at = 0
+
+    @rule()
+    def cut(self) -> None:
+        """Stop between two calls."""
+        self.run.crash()
+        self.run.judge()
+
+    @rule(ms=st.sampled_from([-100_000.0, -3_000.0, 3_000.0, 100_000.0]))
+    @precondition(lambda self: self.run.disk is not None)
+    def step(self, ms: float) -> None:
+        """Let the wall clock step while the steady one stands; nothing from before may be proven any more."""
+        disk = self.run.disk
+        assert disk
+        old = disk.proof.era
+        disk.proof.offset_ms = (disk.proof.offset_ms or 0.0) - ms
+        assert disk.proof.stepped(self.run.model.now, self.run.model.now)
+        disk.mark_era()
+        assert not disk.proof.proven(old, self.run.model.now, self.run.model.now)
+
+    @invariant()
+    def right(self) -> None:
+        """Nothing was served wrongly or lost."""
+        assert not self.run.wrong
+
+
+TestMachine = Machine.TestCase
+TestMachine.settings = settings(max_examples=25, stateful_step_count=12, deadline=None, derandomize=True)
--- /dev/null
+++ b/tests/store/test_store_live.py
@@ -0,0 +1,206 @@
+"""The tiers in real processes among stand-ins: kills, orderly restarts, upgrades, the command line."""
+
+import asyncio
+import json
+import shutil
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from hitchtiller.cli.main import main
+from standins import kills
+from standins.rig import REPLAY_MS, ROOT, Rig
+from standins.truth import now_ms
+
+
+def played(script: Callable[[Rig], Awaitable[None]], **disk: float) -> Rig:
+    """Run a script on a rig with both tiers; whatever clients saw must be right."""
+
+    async def run() -> Rig:
+        rig = Rig(5)
+        rig.disk(**disk)
+        await rig.start()
+        try:
+            await rig.launch()
+            await script(rig)
+        finally:
+            await rig.kill()
+            shutil.rmtree(rig.folder, ignore_errors=True)
+        return rig
+
+    rig = asyncio.run(run())
+    assert not rig.verdicts.wrong
+    return rig
+
+
+async def ask_all(rig: Rig, keys: range) -> None:
+    terminal = await rig.terminal()
+    for key in keys:
+        got = await terminal.read("files", key)
+        assert got and got.code == 0
+    terminal.close()
+
+
+def test_killed_at_random_moments_it_serves_nothing_torn_or_old() -> None:
+    """Eight kills with fixed seeds; `python -m standins.kills` has hundreds."""
+
+    async def lanes() -> list[dict[str, object]]:
+        return list(await asyncio.gather(*(kills.play(seed, 2) for seed in (100, 300, 400, 500))))
+
+    results = asyncio.run(lanes())
+    assert [result["wrong"] for result in results] == [[]] * 4
+    assert sum(int(str(result["served"])) for result in results) > 100
+
+
+def test_the_judge_of_kills_notices_a_gateway_that_ignores_purges() -> None:
+    """The same rig with a bus that tells nobody of purges while the truth has them."""
+
+    async def script() -> list[str]:
+        rig = Rig(5)
+        rig.disk()
+        await rig.start()
+        try:
+            await rig.launch()
+            await rig.logged("store open")
+            await ask_all(rig, range(1, 6))
+            rig.truth.purge(3, -1, now_ms())
+            rig.bus.told += 1  # never told
+            await asyncio.sleep(1.2)
+            await ask_all(rig, range(1, 6))
+        finally:
+            await rig.kill()
+            shutil.rmtree(rig.folder, ignore_errors=True)
+        return rig.verdicts.wrong
+
+    (wrong,) = asyncio.run(script())
+    assert wrong.startswith("old: 3/0")
+
+
+def test_after_an_orderly_restart_hits_come_from_disk_and_no_cache_is_asked() -> None:
+    async def script(rig: Rig) -> None:
+        await rig.logged("store open")
+        for _ in range(2):
+            await ask_all(rig, range(1, 40))
+        assert await rig.terminate() == 0
+        pulls = sum(server.pulls for server in rig.caches)
+        await rig.launch()
+        line = await rig.logged("store open")
+        assert "checkpoint 0" not in line and " 0 records read" in line
+        await ask_all(rig, range(1, 40))
+        figures = await rig.figures()
+        assert figures["store.hits.disk"] == 39 and sum(server.pulls for server in rig.caches) == pulls
+
+    played(script)
+
+
+def test_after_a_long_absence_copies_are_confirmed_and_what_was_purged_is_not_served() -> None:
+    async def script(rig: Rig) -> None:
+        await rig.logged("store open")
+        for _ in range(2):
+            await ask_all(rig, range(1, 21))
+        await rig.terminate()
+        for key in (3, 4):
+            rig.truth.purge(key, -1, now_ms())
+        await asyncio.sleep(REPLAY_MS / 1000.0 + 1.2)
+        await rig.launch()
+        await rig.logged("store open")
+        kept = sum(server.kept for server in rig.caches)
+        await ask_all(rig, range(1, 21))
+        figures = await rig.figures()
+        assert figures["store.confirmed"] == 18 == sum(server.kept for server in rig.caches) - kept
+        assert figures["store.refuted"] == 2 and figures["store.hits.disk"] == 0
+
+    played(script)
+
+
+def test_a_new_version_takes_the_folder_over_when_the_old_one_lets_go() -> None:
+    async def script(rig: Rig) -> None:
+        await rig.logged("store open")
+        for _ in range(2):
+            await ask_all(rig, range(1, 31))
+        old, log = rig.process, rig.lines
+        await rig.launch()
+        assert old
+        await rig.logged("store open")
+        assert any("store left: 30 parts" in line for line in log)
+        await ask_all(rig, range(1, 31))
+        assert (await rig.figures())["store.hits.disk"] == 30
+        assert await asyncio.wait_for(old.wait(), 10.0) == 0
+
+    played(script)
+
+
+def test_logs_as_json_have_bound_fields() -> None:
+    async def script(rig: Rig) -> None:
+        await rig.kill()
+        rig.hcl += 'log {\n  form = "json"\n}\n'
+        await rig.launch(wait_ready=False)
+        await rig.expect('"text":"ready"')
+        terminal = await rig.terminal()
+        terminal.close()
+        line = json.loads(await rig.expect('"side":"client"'))
+        assert line["node"] == "n0" and line["code"] == "eof" and line["level"] == "INFO"
+
+    played(script)
+
+
+def test_the_platforms_gateway_imports_nothing_of_this() -> None:
+    """Two versions have to fit 32 MB."""
+    code = (
+        "import sys, hitchtiller.__main__\n"
+        "new = {'click', 'rich', 'msgspec', 'hcl2', 'lark', 'xxhash', 'google_crc32c', 'numpy'}\n"
+        "print([m for m in sys.modules if m in new or m.startswith(('hitchtiller.store', 'hitchtiller.cli',"
+        " 'hitchtiller.operator', 'standins'))])"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=True)
+    assert done.stdout.strip() == "[]"
+
+
+def test_serve_refuses_a_bad_file_and_a_share_for_no_class(tmp_path: Path) -> None:
+    file = tmp_path / "gateway.hcl"
+    env = {"BALANCER_CONFIG": str(ROOT / "examples" / "config.json")}
+    for text, told in (
+        ("stor { }", "did you mean 'store'?"),
+        ('store {\n share "nope" { }\n}', "'nope', which is no"),
+    ):
+        file.write_text(text)
+        command = [sys.executable, "-m", "hitchtiller.cli", "serve", "--file", str(file)]
+        done = subprocess.run(command, capture_output=True, text=True, cwd=ROOT, env=env)
+        assert done.returncode == 2 and told in done.stderr
+
+
+def test_the_demo_serves_and_shows_the_way() -> None:
+    done = CliRunner().invoke(main, ["demo", "--json"])
+    assert done.exit_code == 0, done.output
+    rows = json.loads(done.output)["requests"]
+    assert rows[0]["way"].startswith("station cache") and rows[4]["way"] == "memory"
+    assert rows[6]["way"].startswith("station cache"), "it was purged"
+
+
+def test_the_store_tools_show_verify_compact_and_export(tmp_path: Path) -> None:
+    folder, run = tmp_path / "store", CliRunner()
+    folder.mkdir()
+    assert run.invoke(main, ["store", "inspect", str(folder)]).exit_code == 2
+    args = ["store", "bench", str(folder), "--parts", "300", "--kb", "4", "--seconds", "0.05", "--json"]
+    measured = json.loads(run.invoke(main, args).output)
+    assert measured["parts"] == 300 and measured["scanned_with_checkpoint"] == 0
+    assert run.invoke(main, args).exit_code == 2, "it is not empty any more"
+    shown = json.loads(run.invoke(main, ["store", "inspect", str(folder), "--json"]).output)
+    assert shown["parts"] == 300 and shown["segments"] == 1
+    assert run.invoke(main, ["store", "verify", str(folder)]).exit_code == 0
+    target = tmp_path / "out"
+    name = f"{7:016x}"
+    assert run.invoke(main, ["store", "export", str(folder), str(target), "--object", name]).exit_code == 0
+    assert (target / f"{name}-0").stat().st_size == 4000
+    assert run.invoke(main, ["store", "export", str(folder), str(target), "--object", "zz"]).exit_code == 2
+    done = json.loads(run.invoke(main, ["store", "compact", str(folder), "--json"]).output)
+    assert done["parts"] == 300 and done["state"] == "well"
+    segment = next(folder.glob("segment-*"))
+    data = bytearray(segment.read_bytes())
+    data[2000] ^= 1
+    segment.write_bytes(data)
+    bad = run.invoke(main, ["store", "verify", str(folder), "--json"])
+    assert bad.exit_code == 1 and json.loads(bad.output)["bad"] == 1
--- /dev/null
+++ b/tests/store/test_store_tier.py
@@ -0,0 +1,357 @@
+"""The tiers behind an engine: hits, joins, purges, suspects, clocks, and ends of all kinds."""
+
+import random
+
+import pytest
+from tiers import SMALL, START, Tiers
+
+from hitchtiller.back.jobs import Pull
+from hitchtiller.exchange import FAILED, REFUSED, SERVED, Ending
+from hitchtiller.store import recover
+from hitchtiller.store.disk import Disk
+from hitchtiller.store.jobs import Inline
+from hitchtiller.store.suspect import Kept, Proof
+from standins.files import SimFiles
+
+
+@pytest.fixture
+def tiers() -> Tiers:
+    return Tiers()
+
+
+def kinds(tiers: Tiers) -> dict[int, str]:
+    return {number: answer.kind for number, answer in tiers.answers.items()}
+
+
+def test_the_second_request_is_answered_from_memory_and_nothing_is_sent(tiers: Tiers) -> None:
+    tiers.fetch()
+    tiers.ask()
+    tiers.ask(have="t1")
+    assert tiers.answers[2].body == b"x" * 100 and tiers.answers[2].tag == "t1"
+    assert tiers.answers[3].unchanged and tiers.answers[3].body == b""
+    assert len(tiers.back.sent) == 1 and tiers.tier.hits["memory"] == 2
+
+
+@pytest.mark.parametrize("more", [{"dedupe": "k"}, {"body": b"b"}])
+def test_what_carries_a_key_or_a_body_passes_by(tiers: Tiers, more: dict[str, object]) -> None:
+    tiers.fetch()
+    tiers.ask(**more)
+    assert len(tiers.sent()) == 1 and not tiers.tier.joins.flights
+
+
+@pytest.mark.parametrize("name", ["keyed", "once"])
+def test_keyed_and_write_classes_are_never_kept(tiers: Tiers, name: str) -> None:
+    for _ in range(2):
+        tiers.ask(name=name)
+        tiers.serve(tiers.sent()[-1])
+    assert len(tiers.back.sent) == 2 and not tiers.tier.memory.copies
+
+
+def test_a_copy_of_one_class_is_not_one_of_another(tiers: Tiers) -> None:
+    tiers.fetch(name="small")
+    tiers.ask(name="big")
+    assert len(tiers.sent()) == 1
+
+
+def test_age_counts_from_the_origin_and_within_grace_a_copy_stands_in_for_a_failure(
+    tiers: Tiers,
+) -> None:
+    tiers.fetch(name="brief", since=START - 900.0)
+    tiers.wait(99.0)
+    tiers.ask(name="brief")
+    assert kinds(tiers)[2] == SERVED
+    tiers.wait(2.0)
+    exchange = tiers.ask(name="brief")
+    assert 3 not in tiers.answers and exchange.confirm == "t1"
+    while sent := tiers.sent():
+        sent[-1].written = True
+        sent[-1].end(Ending("err"))
+    assert tiers.answers[3].kind == SERVED and tiers.tier.hits["stale"] == 1
+    tiers.wait(500.0)
+    tiers.ask(name="brief")
+    while sent := tiers.sent():
+        sent[-1].end(Ending("err"))
+    assert kinds(tiers)[4] in (FAILED, REFUSED), "past its grace it is not served"
+
+
+def test_a_copy_past_its_fresh_time_is_renewed_without_bytes(tiers: Tiers) -> None:
+    tiers.fetch(name="brief")
+    tiers.wait(1_200.0)
+    tiers.ask(name="brief")
+    tiers.keep(tiers.sent()[0], "t1", tiers.clock.now)
+    assert tiers.answers[2].body == b"x" * 100
+    tiers.wait(900.0)
+    tiers.ask(name="brief")
+    assert kinds(tiers)[3] == SERVED and not tiers.sent()
+
+
+def test_a_purge_ends_a_copy_at_once_by_object_and_by_group(tiers: Tiers) -> None:
+    for key, purge in ((1, (1, -1)), (2, (None, 5))):
+        tiers.ask(key, group=5)
+        tiers.serve(tiers.sent()[-1])
+        tiers.wait(10.0)
+        tiers.purge(*purge)
+        tiers.ask(key, group=5)
+        assert len(tiers.sent()) == 1
+        tiers.serve(tiers.sent()[0], b"new")
+
+
+def test_a_fill_begun_before_a_purge_is_never_kept_as_newer(tiers: Tiers) -> None:
+    exchange = tiers.ask()
+    tiers.wait(50.0)
+    tiers.purge()
+    tiers.serve(tiers.sent()[0], since=START + 20.0)
+    assert exchange.over and not tiers.tier.memory.copies
+    tiers.ask()
+    assert len(tiers.sent()) == 1
+
+
+def test_requests_under_way_share_one_attempt(tiers: Tiers) -> None:
+    for have in ("", "", "t1"):
+        tiers.ask(have=have)
+    assert len(tiers.back.sent) == 1
+    tiers.serve(tiers.sent()[0])
+    assert [tiers.answers[n].body for n in (1, 2)] == [b"x" * 100] * 2
+    assert tiers.answers[3].unchanged and tiers.tier.hits["joined"] == 2
+
+
+def test_a_joiner_takes_over_when_the_leaders_client_leaves(tiers: Tiers) -> None:
+    leader = tiers.ask()
+    tiers.ask()
+    tiers.engine.leave(leader)
+    assert len(tiers.sent()) == 1 and tiers.sent()[0].exchange.number == 2
+    tiers.serve(tiers.sent()[0])
+    assert kinds(tiers) == {2: SERVED}
+
+
+def test_a_joiner_takes_over_when_the_leaders_time_is_over(tiers: Tiers) -> None:
+    tiers.ask(life=200.0)
+    tiers.ask(life=2_000.0)
+    tiers.wait(201.0)
+    assert kinds(tiers)[1] in (REFUSED, FAILED) and 2 not in tiers.answers
+    assert tiers.sent()[0].exchange.number == 2
+
+
+def test_a_joiner_that_has_waited_too_long_goes_its_own_way(tiers: Tiers) -> None:
+    tiers.ask(life=2_900.0)
+    tiers.ask(life=100.0)
+    tiers.wait(41.0)
+    assert {attempt.exchange.number for attempt in tiers.sent()} == {1, 2}
+    tiers.serve(tiers.sent()[1])
+    assert kinds(tiers) == {2: SERVED}
+
+
+def test_attempts_of_all_leaders_stay_within_one_requests_limit() -> None:
+    tiers = Tiers(max_attempts=3)
+    for _ in range(40):
+        tiers.ask()
+    for _ in range(200):
+        for attempt in tiers.sent():
+            attempt.written = True
+            attempt.end(Ending("econnreset"))
+    assert len(tiers.back.sent) <= 3 and len(tiers.answers) == 40
+    assert all(answer.kind in (REFUSED, FAILED) for answer in tiers.answers.values())
+
+
+def test_a_purge_between_leader_and_joiner_keeps_the_older_copy_from_the_joiner(tiers: Tiers) -> None:
+    tiers.ask()
+    tiers.wait(10.0)
+    tiers.purge()
+    tiers.ask()
+    tiers.serve(tiers.sent()[0], since=START + 5.0)
+    assert kinds(tiers) == {1: SERVED}, "the leader was sent before it was told"
+    assert tiers.sent()[0].exchange.number == 2
+    tiers.serve(tiers.sent()[0], b"new", since=tiers.clock.now + 1.0)
+    assert tiers.answers[2].body == b"new"
+
+
+def test_the_link_paces_hits_and_what_would_be_late_goes_to_the_caches() -> None:
+    tiers = Tiers(link=1_000.0)  # bytes a second: 100 bytes take 100 ms
+    tiers.fetch()
+    for _ in range(5):
+        tiers.ask()
+    assert len(tiers.answers) == 2, "one at once, the next when the link is free"
+    assert len(tiers.sent()) >= 1 and tiers.tier.slow_link >= 1
+    tiers.wait(100.0)
+    assert len(tiers.answers) == 3
+
+
+def test_a_purge_while_an_answer_waits_for_the_link_is_kept() -> None:
+    tiers = Tiers(link=1_000.0)
+    tiers.fetch()
+    for _ in range(2):
+        tiers.ask()
+    tiers.wait(10.0)
+    tiers.purge()
+    tiers.wait(95.0)
+    assert 3 not in tiers.answers and tiers.sent()[0].exchange.number == 3
+
+
+def test_nothing_is_kept_before_the_bus_has_told_all_there_was() -> None:
+    tiers = Tiers(heard=False)
+    tiers.fetch()
+    assert not tiers.tier.memory.copies
+
+
+# Suspects
+
+
+def suspected(tiers: Tiers) -> float:
+    """Have a copy made suspect by a step of the clock; gives when the gap ended."""
+    tiers.fetch()
+    tiers.step(5_000.0)
+    return tiers.clock.now
+
+
+def test_a_step_of_the_clock_makes_a_copy_suspect_and_a_confirmation_proves_it(tiers: Tiers) -> None:
+    gap = suspected(tiers)
+    exchange = tiers.ask()
+    (attempt,) = tiers.sent()
+    assert exchange.confirm == "t1"
+    tiers.wait(20.0)
+    clearance = attempt.clear(attempt)
+    assert clearance and clearance.cap_ms == pytest.approx(20.0)
+    tiers.keep(attempt, "t1", gap + 5.0)
+    assert tiers.answers[2].body == b"x" * 100 and tiers.tier.confirmed == 1
+    tiers.ask()
+    assert kinds(tiers)[3] == SERVED and not tiers.sent()
+
+
+def test_the_tag_goes_with_the_command_and_an_unasked_keep_is_an_error(tiers: Tiers) -> None:
+    suspected(tiers)
+    tiers.ask()
+    (attempt,) = tiers.sent()
+    command = Pull(attempt).command()
+    assert command and b"inm=t1" in command and b"cap=" in command
+
+
+@pytest.mark.parametrize("tag, age", [("t2", 5.0), ("t1", -5.0)])
+def test_a_keep_that_proves_nothing_is_an_error_of_that_attempt(tiers: Tiers, tag: str, age: float) -> None:
+    gap = suspected(tiers)
+    tiers.ask()
+    (attempt,) = tiers.sent()
+    tiers.keep(attempt, tag, gap + age)
+    assert 2 not in tiers.answers and tiers.tier.refuted == 1 and not tiers.tier.memory.copies
+    (again,) = tiers.sent()
+    assert not again.exchange.confirm
+    tiers.serve(again, b"new", "t3")
+    assert tiers.answers[2].body == b"new"
+
+
+def test_other_bytes_refute_a_suspect(tiers: Tiers) -> None:
+    suspected(tiers)
+    tiers.ask()
+    tiers.serve(tiers.sent()[0], b"new", "t2")
+    tiers.ask()
+    assert tiers.answers[2].body == tiers.answers[3].body == b"new" and tiers.tier.refuted == 1
+
+
+def test_a_clients_own_tag_is_not_replaced_but_its_keep_proves_ours_too(tiers: Tiers) -> None:
+    gap = suspected(tiers)
+    exchange = tiers.ask(have="t1")
+    assert not exchange.confirm
+    tiers.keep(tiers.sent()[0], "t1", gap + 1.0)
+    assert tiers.answers[2].unchanged
+    tiers.ask()
+    assert tiers.answers[3].body == b"x" * 100 and not tiers.sent()
+
+
+# Disk
+
+
+def test_what_is_asked_for_twice_is_written_and_read_back_after_a_start() -> None:
+    files, tiers = SimFiles(), Tiers()
+    tiers.disk(files)
+    for key in (1, 2):
+        tiers.fetch(key)
+    assert len(recover.load(files).index) == 0, "one-offs are not written"
+    tiers.ask(1)
+    assert tiers.tier.hits["memory"] == 1 and len(recover.load(files).index) == 1
+    tiers.wait(1000.0)
+    tiers.tier.heard()
+    again = Tiers(heard=False)
+    again.clock.now = tiers.clock.now + 100.0
+    again.tier.heard()
+    again.disk(files)
+    again.ask(1)
+    assert again.answers[1].body == b"x" * 100 and again.tier.hits["disk"] == 1
+    again.ask(1)
+    assert again.tier.hits["memory"] == 1
+
+
+def test_after_a_gap_a_part_on_disk_is_asked_about_and_a_purge_that_was_told_is_kept() -> None:
+    files, tiers = SimFiles(), Tiers()
+    disk = tiers.disk(files)
+    for key in (1, 2):
+        for _ in range(2):
+            tiers.fetch(key)
+            tiers.tier.memory.drop(next(iter(tiers.tier.memory.copies)))
+    assert len(disk.index) == 2
+    tiers.wait(5.0)
+    tiers.purge(2)
+    again = Tiers(heard=False)
+    again.clock.now = START + 3_600_000.0
+    again.tier.heard()
+    again.disk(files)
+    exchange = again.ask(1)
+    assert exchange.confirm == "t1" and again.proof.era > 1
+    other = again.ask(2)
+    assert not other.confirm, "a purged copy is not even asked about"
+
+
+def test_purges_told_while_the_folder_was_closed_are_written_when_it_opens() -> None:
+    files, tiers = SimFiles(), Tiers()
+    tiers.purge(9, at=START + 1.0)
+    tiers.disk(files)
+    assert recover.load(files).purges.objects == {9: START + 1.0}
+
+
+def test_a_part_that_can_not_be_read_goes_to_the_caches_and_its_joiners_with_it() -> None:
+    files, tiers = SimFiles(), Tiers()
+    found = recover.load(files)
+    held: list[object] = []
+
+    class Slow(Inline):
+        def submit(self, lane, run, done):  # type: ignore[no-untyped-def]
+            if lane == "read":
+                held.append(done)
+                return True
+            return super().submit(lane, run, done)
+
+    proof = Proof(Kept(), 6000.0)
+    disk = Disk(files, Slow(), SMALL, found, proof)
+    disk.proof = tiers.proof
+    tiers.tier.attach(disk)
+    for _ in range(2):
+        tiers.fetch(1)
+        tiers.tier.memory.drop(next(iter(tiers.tier.memory.copies)))
+    before = len(tiers.back.sent)
+    for _ in range(3):
+        tiers.ask(1)
+    assert len(held) == 1 and len(tiers.back.sent) == before
+    held[0](None, OSError(5, "planned"))  # type: ignore[operator]
+    assert len(tiers.sent()) == 1
+    tiers.serve(tiers.sent()[0])
+    assert [kinds(tiers)[n] for n in (3, 4, 5)] == [SERVED] * 3
+
+
+def test_many_purges_forget_only_what_no_copy_needs() -> None:
+    tiers = Tiers()
+    tiers.tier.purges.most = 100
+    tiers.fetch(1)
+    tiers.wait(10.0)
+    tiers.purge(1)
+    rng = random.Random(2)
+    for _ in range(300):
+        tiers.wait(1000.0)
+        tiers.purge(rng.getrandbits(40))
+    tiers.ask(1)
+    assert len(tiers.sent()) == 1, "its copy is older than its purge, whatever was forgotten"
+
+
+def test_figures_are_published(tiers: Tiers) -> None:
+    tiers.fetch()
+    tiers.ask()
+    lines = tiers.engine.stats.lines()
+    assert "svc.store.hits.memory:1|c" in lines and "svc.store.disk.state:0|g" in lines
+    assert any(line.startswith("svc.store.memory_bytes:") and not line.endswith(":0|g") for line in lines)
