--- a/hitchtiller/cli/bench.py
+++ b/hitchtiller/cli/bench.py
@@ -105,13 +105,17 @@
     return took, found.scanned, loaded
 
 
+def _resident() -> int:
+    """Give this process's resident bytes."""
+    return int(Path("/proc/self/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
 def index_against_dict(entries: int) -> dict[str, Any]:
     """Measure the index beside a `dict` of the same content.
 
     Memory a part, look-ups, the longest single change.
     """
     import gc
-    import tracemalloc
 
     keys = [fingerprint(number, 0) for number in range(entries)]
     index, longest = Index(), 0.0
@@ -122,16 +126,15 @@
         longest = max(longest, time.perf_counter() - at)
     put = time.perf_counter() - begun
     gc.collect()
-    tracemalloc.start()
+    before = _resident()
     plain: dict[int, int] = {}
     worst = 0.0
     for number, key in enumerate(keys):
         at = time.perf_counter()
         plain[int(key)] = pack_place(number % 1000 + 1, 64, 64)
         worst = max(worst, time.perf_counter() - at)
-    # the dict would hold the fingerprints itself: 36 bytes for each int of 64 bits
-    plain_bytes = tracemalloc.get_traced_memory()[0] + 36 * entries
-    tracemalloc.stop()
+    # the keys are shared with the list above; a dict alone would hold them too, 36 bytes each
+    plain_bytes = _resident() - before + 36 * entries
     rng = random.Random(3)
     some = [keys[rng.randrange(entries)] for _ in range(min(entries, 200_000))]
     at = time.perf_counter()
--- a/hitchtiller/cli/serve.py
+++ b/hitchtiller/cli/serve.py
@@ -4,14 +4,21 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from hitchtiller import log
 from hitchtiller.__main__ import Gateway
 from hitchtiller.__main__ import serve as serve_gateway
 from hitchtiller.cli.logs import json_sink
+from hitchtiller.codec.bus import read_dial
 from hitchtiller.config import ConfigError, read_config
-from hitchtiller.operator.model import MB, File, Store
+from hitchtiller.operator.model import MB, File, Repo, Store
 from hitchtiller.operator.read import BadFile, read_file
+from hitchtiller.ops.stats import Stats
+
+if TYPE_CHECKING:
+    from hitchtiller.repo.fetch import Fetcher
+    from hitchtiller.repo.front import RepoFront
 
 
 def with_store(settings: Store) -> Callable[[Gateway], Callable[[], None]]:
@@ -53,6 +60,71 @@
     return extend
 
 
+def with_repositories(settings: Repo) -> Callable[[Gateway], None]:
+    """Join the second front to a gateway."""
+    from hitchtiller.repo.admission import Doors, GiveWay
+    from hitchtiller.repo.budget import Budget
+    from hitchtiller.repo.fetch import Fetcher
+    from hitchtiller.repo.front import RepoFront, Times
+    from hitchtiller.repo.kinds import make
+    from hitchtiller.repo.service import Repository, Service
+
+    def extend(gateway: Gateway) -> None:
+        sched, engine = gateway.sched, gateway.engine
+        give_way = GiveWay(on=settings.give_way)
+        fetcher = Fetcher(sched, engine, give_way, Budget(), gateway.config.seed)
+        served = [
+            Repository(
+                name, make(r.kind), r.prefix, r.class_name, r.group, r.grace_s * 1e3, int(r.index_mb * MB)
+            )
+            for name, r in settings.repository.items()
+        ]
+        hosts = frozenset(host.strip().lower() for host in settings.hosts.split(",") if host.strip())
+        service = Service(engine, fetcher, served, hosts)
+        times = Times(settings.header_s * 1e3, settings.idle_s * 1e3, settings.slow_s * 1e3)
+        front = RepoFront(sched, service, Doors(settings.connections, settings.each_address), times)
+        front.listen(read_dial(settings.listen))
+        publish(engine.stats, front, fetcher)
+
+        def look() -> None:
+            while True:
+                sched.sleep(200.0)
+                fetcher.look()
+
+        sched.spawn(look)
+
+    return extend
+
+
+def publish(stats: Stats, front: "RepoFront", fetcher: "Fetcher") -> None:
+    """Put the second front's figures where operators read them."""
+    way, budget, service = fetcher.give_way, fetcher.budget, front.service
+    stats.levels |= {
+        "repo.connections": lambda: front.doors.all,
+        "repo.parts_open": lambda: way.open,
+        "repo.parts_limit": lambda: int(way.limit),
+    }
+    stats.counts |= {
+        "repo.parts": lambda: fetcher.asked,
+        "repo.repeats": lambda: budget.spent,
+        "repo.repeats_denied": lambda: budget.denied,
+        "repo.gave_way": lambda: way.refused,
+        "repo.turned_away": lambda: sum(front.turned_away.values()),
+        "repo.answers": lambda: sum(service.counts.values()),
+        "repo.held_back": lambda: sum(
+            line.held_back for repo in service.repositories for line in repo.lines.values()
+        ),
+    }
+
+
+def _extend(settings: File, gateway: Gateway) -> Callable[[], None]:
+    """Join all that the file asks for."""
+    finish = with_store(settings.store)(gateway) if settings.store else lambda: None
+    if settings.repo:
+        with_repositories(settings.repo)(gateway)
+    return finish
+
+
 def serve(file: Path | None) -> int:
     """Run until told to stop; 2 for a configuration or a file that can't be used."""
     settings = File()
@@ -61,6 +133,14 @@
             settings = read_file(file)
         config = read_config(os.environ)
         unknown = set(settings.store.share if settings.store else ()) - set(config.settings.classes)
+        for name, repository in (settings.repo.repository if settings.repo else {}).items():
+            cls = config.settings.classes.get(repository.class_name)
+            if cls is None or cls.write or cls.effect != "repeatable":
+                names = [
+                    n for n, c in config.settings.classes.items() if c.effect == "repeatable" and not c.write
+                ]
+                told = f"class_name {repository.class_name!r} of repository {name!r} is none that may be kept"
+                raise ConfigError(f"{file}: {told}; there are " + ", ".join(names))
         if unknown:
             raise ConfigError(f"{file}: share for {sorted(unknown)[0]!r}, which is no class; there are "
                               + ", ".join(config.settings.classes))  # fmt: skip
@@ -75,7 +155,7 @@
         return 2
     log.start(config.name, json_sink if settings.log.form == "json" else None)
     try:
-        serve_gateway(config, with_store(settings.store) if settings.store else None)
+        serve_gateway(config, lambda gateway: _extend(settings, gateway))
     except OSError as error:
         print(f"hitchtiller: {error}", file=sys.stderr)
         return 2
--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -90,6 +90,8 @@
         self.events: deque[api.Event] = deque()
         self.busy = False
         self.copies: Copies | None = None
+        self.purge_ears: list[Callable[[Ban], object]] = []
+        self.ended_one: Callable[[Exchange, Answer], None] | None = None  # hears of each final answer
         self.stats = Stats(router.s.classes)
         self.stats.levels = {
             "in_flight": lambda: len(self.open),
@@ -109,7 +111,8 @@
         self.open[exchange.number] = exchange
         self.ids.add(ask.id.lower())
         self.stats.taken += 1
-        delay = ask.deadline_ms - self.clock.now_ms()
+        exchange.taken_ms = self.clock.now_ms()
+        delay = ask.deadline_ms - exchange.taken_ms
         exchange.guard = self.clock.later(delay, partial(self.expire, exchange)).cancel
         if self.copies is None or not self.copies.take(exchange):
             self.decide(exchange)
@@ -168,6 +171,8 @@
         self._drop(exchange)
         if exchange.finish(answer):
             self.stats.end(exchange.ask.class_name, answer.kind)
+            if self.ended_one:
+                self.ended_one(exchange, answer)
             if self.copies:
                 self.copies.over(exchange, answer)
         exchange.settle()
@@ -179,6 +184,8 @@
         if isinstance(event, Ban):
             if self.copies:
                 self.copies.purged(event)
+            for hear in self.purge_ears:
+                hear(event)
             age = max(0.0, self.clock.now_ms() - event.at_ms)
             self.give(api.Purged(event.key, event.group, age))
             return
--- a/hitchtiller/exchange.py
+++ b/hitchtiller/exchange.py
@@ -25,6 +25,7 @@
     body: bytes = b""
     dedupe: str = ""
     have: str = ""  # tag of the copy that the client holds
+    background: bool = False  # gives way to others
 
 
 @dataclass(slots=True)
@@ -104,7 +105,7 @@
 class Exchange:
     """A taken request: it is owed exactly one final answer, unless its client leaves."""
 
-    __slots__ = ("ask", "attempts", "confirm", "decided", "deliver", "guard", "number", "over")
+    __slots__ = ("ask", "attempts", "confirm", "decided", "deliver", "guard", "number", "over", "taken_ms")
 
     def __init__(self, number: int, ask: Ask, deliver: Callable[[Answer], None]) -> None:
         """Take a request; `deliver` carries the final answer to the client."""
@@ -113,6 +114,7 @@
         self.guard: Callable[[], None] | None = None  # takes the overdue timer back
         self.over = False
         self.decided = False  # the decisions have it
+        self.taken_ms = 0.0
         self.confirm = ""  # tag of a copy of our own that a server is asked about
 
     def finish(self, answer: Answer) -> bool:
--- a/hitchtiller/operator/model.py
+++ b/hitchtiller/operator/model.py
@@ -54,8 +54,34 @@
     share: dict[str, Share] = {}
 
 
+class Repository(Struct, frozen=True, forbid_unknown_fields=True):
+    """One repository, served below `prefix`."""
+
+    kind: Annotated[Literal["simple", "debian"], Meta(description='"simple" or "debian"')]
+    class_name: Annotated[str, Meta(min_length=1, description="the name of a class that may be kept")]
+    prefix: Annotated[str, Meta(description='a path such as "pypi/", or "" for all')] = ""
+    group: Annotated[int, Meta(ge=-1, le=255, description="a group from 0 to 255, or -1")] = -1
+    grace_s: Annotated[float, Meta(ge=0, le=86_400, description="a time from 0 to 86400")] = 60
+    index_mb: Annotated[float, Meta(ge=0.01, le=1000, description="a size from 0.01 to 1000")] = 32
+
+
+class Repo(Struct, frozen=True, forbid_unknown_fields=True):
+    """The front for package repositories."""
+
+    listen: Annotated[str, Meta(min_length=3, description='an address such as "127.0.0.1:8080"')]
+    connections: Annotated[int, Meta(ge=1, le=100_000, description="a number from 1 to 100000")] = 256
+    each_address: Annotated[int, Meta(ge=1, le=100_000, description="a number from 1 to 100000")] = 16
+    header_s: Annotated[float, Meta(ge=0.1, le=600, description="a time from 0.1 to 600")] = 5
+    idle_s: Annotated[float, Meta(ge=0.1, le=3600, description="a time from 0.1 to 3600")] = 15
+    slow_s: Annotated[float, Meta(ge=0.1, le=3600, description="a time from 0.1 to 3600")] = 20
+    give_way: Annotated[bool, Meta(description="true or false")] = True
+    hosts: Annotated[str, Meta(description='host names, apart by commas, or ""')] = ""
+    repository: dict[str, Repository] = {}
+
+
 class File(Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file; what is not in it is off."""
 
     log: Log = Log()
     store: Store | None = None
+    repo: Repo | None = None
--- /dev/null
+++ b/hitchtiller/repo/body.py
@@ -0,0 +1,139 @@
+"""One body put together from parts: of one tag only, hashed as it goes, its end held until the digest holds.
+
+Sans-I/O: parts come in any order and leave in order. Bound: parts that came early, as many as the window lets
+be under way, and HOLD bytes of the end.
+"""
+
+import hashlib
+from dataclasses import dataclass, field
+
+HOLD = 16_384  # bytes at the end that are sent only once the digest holds
+
+
+class Broken(Exception):
+    """The body can't be ended well; the text is the reason code."""
+
+
+class Restart(Exception):
+    """Another tag came before anything was sent: all of it can begin anew with that one."""
+
+    def __init__(self, tag: str) -> None:
+        """Keep the tag to begin with."""
+        super().__init__(tag)
+        self.tag = tag
+
+
+@dataclass(slots=True)
+class Piece:
+    """A part as it came."""
+
+    data: bytes
+    tag: str
+    since_ms: int
+
+
+@dataclass(slots=True)
+class Assembly:
+    """Puts one body together; `digest` is the SHA-256 it must have, "" for any."""
+
+    part_bytes: int
+    digest: str = ""
+    size: int = -1  # -1: the first part that is short ends it
+    tag: str = ""
+    next: int = 0  # the part that goes out next
+    sent: int = 0  # bytes given out
+    early: dict[int, Piece] = field(default_factory=dict)
+    hash: "hashlib._Hash" = field(default_factory=hashlib.sha256)
+    held: bytearray = field(default_factory=bytearray)
+    done: bool = False
+    since_ms: int = 0  # the oldest part's
+
+    def suits(self, piece: Piece) -> bool:
+        """Tell whether a part is of the tag that this body has."""
+        return not self.tag or piece.tag == self.tag
+
+    def wants(self, number: int) -> bool:
+        """Tell whether a part is needed and has not come."""
+        known_end = self.size >= 0 and number * self.part_bytes >= max(1, self.size)
+        return not self.done and not known_end and number >= self.next and number not in self.early
+
+    def take(self, number: int, piece: Piece) -> list[bytes]:
+        """Take a part.
+
+        Gives the bytes that may be sent now, in order. Broken or Restart where it does not fit.
+        """
+        if self.done or number < self.next:
+            return []
+        if not self.tag:
+            self.tag = piece.tag
+        if piece.tag != self.tag:
+            if self.sent:
+                raise Broken("two-releases")  # never mixed bytes: the client must be able to tell
+            raise Restart(piece.tag)
+        if len(piece.data) > self.part_bytes:
+            raise Broken("part-too-long")
+        self.early[number] = piece
+        out: list[bytes] = []
+        while (ready := self.early.pop(self.next, None)) is not None:
+            out += self._next(ready)
+            if self.done:
+                self.early.clear()
+                break
+        self.sent += sum(map(len, out))
+        return out
+
+    def _next(self, piece: Piece) -> list[bytes]:
+        """Pass one part on, but for what has to be held."""
+        self.hash.update(piece.data)
+        self.since_ms = min(self.since_ms or piece.since_ms, piece.since_ms)
+        self.next += 1
+        total = (self.next - 1) * self.part_bytes + len(piece.data)
+        short = len(piece.data) < self.part_bytes
+        if self.size >= 0 and (total > self.size or (short and total < self.size)):
+            raise Broken("wrong-size")
+        self.held += piece.data
+        if short or total == self.size:
+            self.done, self.size = True, total
+            if self.digest and self.hash.hexdigest() != self.digest:
+                raise Broken("wrong-digest")
+            whole, self.held = bytes(self.held), bytearray()
+            return [whole] if whole else []
+        if len(self.held) <= HOLD:
+            return []
+        cut = len(self.held) - HOLD
+        out = bytes(self.held[:cut])
+        del self.held[:cut]
+        return [out]
+
+
+@dataclass(slots=True)
+class Proven:
+    """What the bytes of a tag were found to be."""
+
+    digest: str
+    size: int
+
+
+class Proofs:
+    """Which digest a tag of an object stands for, once all of it has been read.
+
+    The longest unused goes first.
+    """
+
+    def __init__(self, most: int = 50_000) -> None:
+        """Remember `most` tags, about 250 bytes each."""
+        self.most = most
+        self.known: dict[tuple[int, str], Proven] = {}
+
+    def get(self, key: int, tag: str) -> Proven | None:
+        """Give what a tag stands for."""
+        found = self.known.pop((key, tag), None)
+        if found:
+            self.known[key, tag] = found
+        return found
+
+    def put(self, key: int, tag: str, digest: str, size: int) -> None:
+        """Note a body that was read whole."""
+        self.known[key, tag] = Proven(digest, size)
+        while len(self.known) > self.most:
+            del self.known[next(iter(self.known))]
--- /dev/null
+++ b/hitchtiller/repo/budget.py
@@ -0,0 +1,80 @@
+"""Repeated parts against a budget that a storm can't exceed: of a file, of a client, and of all together.
+
+The engine's own attempts for a part are the decision module's; this bounds how often a part is asked for
+again after those have ended. Bound: a client's entry is dropped once its bucket is full again.
+"""
+
+from dataclasses import dataclass, field
+
+SHARE = 0.1  # of all parts asked for, that may be repeats
+SAVED = 50.0  # repeats that are saved up at most
+FILE_LEAST, FILE_SHARE = 3, 0.2  # repeats of one file: some, and a share of its parts
+CLIENT_SAVED, CLIENT_PER_S = 20.0, 2.0
+HEDGE_LAST = 2  # parts at a file's end that may be asked for twice
+HEDGE_AFTER = 3.0  # times the usual wait
+
+
+@dataclass(slots=True)
+class FileBudget:
+    """One body's repeats."""
+
+    parts: int = 0
+    repeats: int = 0
+
+    def allows(self) -> bool:
+        """Tell whether one more may be repeated."""
+        return self.repeats < FILE_LEAST + FILE_SHARE * self.parts
+
+
+@dataclass(slots=True)
+class Budget:
+    """All repeats of a gateway's second front; times in ms."""
+
+    tokens: float = SAVED
+    clients: dict[str, tuple[float, float]] = field(default_factory=dict)  # tokens, when
+    usual_ms: float = 0.0
+    spent: int = 0
+    denied: int = 0
+    hedged: int = 0
+
+    def asked(self, file: FileBudget) -> None:
+        """Earn from a first request for a part."""
+        file.parts += 1
+        self.tokens = min(SAVED, self.tokens + SHARE)
+
+    def came(self, waited_ms: float) -> None:
+        """Learn how long a part usually takes."""
+        self.usual_ms += 0.05 * (waited_ms - self.usual_ms) if self.usual_ms else waited_ms
+
+    def repeat(self, file: FileBudget, client: str, now_ms: float) -> bool:
+        """Spend one repeat, if file, client and gateway all have one left."""
+        left, at = self.clients.get(client, (CLIENT_SAVED, now_ms))
+        left = min(CLIENT_SAVED, left + CLIENT_PER_S * max(0.0, now_ms - at) / 1000.0)
+        if left < 1.0 or self.tokens < 1.0 or not file.allows():
+            self.denied += 1
+            return False
+        self.tokens -= 1.0
+        file.repeats += 1
+        self.spent += 1
+        self.clients[client] = (left - 1.0, now_ms)
+        if len(self.clients) > 1000:
+            self._forget(now_ms)
+        return True
+
+    def _forget(self, now_ms: float) -> None:
+        full_ms = 1000.0 * CLIENT_SAVED / CLIENT_PER_S
+        self.clients = {name: entry for name, entry in self.clients.items() if now_ms - entry[1] < full_ms}
+
+    def hedge(
+        self, number: int, parts: int, waited_ms: float, file: FileBudget, client: str, now_ms: float
+    ) -> bool:
+        """Tell whether a late part is asked for a second time.
+
+        Only a file's last ones, and from the same budget.
+        """
+        if parts < 0 or number < parts - HEDGE_LAST or not self.usual_ms:
+            return False
+        if waited_ms < HEDGE_AFTER * self.usual_ms or not self.repeat(file, client, now_ms):
+            return False
+        self.hedged += 1
+        return True
--- /dev/null
+++ b/hitchtiller/repo/conditions.py
@@ -0,0 +1,81 @@
+"""Conditional requests (RFC 9110, 13): whether a request is answered in full, in part, with 304 or with 412.
+
+Entity tags are strong: the digest of the whole body. Weak tags never match where strong ones are called for.
+"""
+
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from email.utils import format_datetime, parsedate_to_datetime
+
+TAG = re.compile(r'(W/)?"([\x21\x23-\x7e]*)"')
+MOST_TAGS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Validators:
+    """What a representation is known by; `modified_ms` is Unix time, 0 where unknown."""
+
+    digest: str
+    modified_ms: int = 0
+
+    @property
+    def etag(self) -> str:
+        """Write the strong tag."""
+        return f'"{self.digest}"'
+
+    @property
+    def last_modified(self) -> str:
+        """Write the date, whole seconds."""
+        return format_datetime(datetime.fromtimestamp(self.modified_ms // 1000, UTC), usegmt=True)
+
+
+def read_tags(header: str) -> list[tuple[bool, str]] | None:
+    """Read a list of entity tags as (weak, opaque); None for `*`; what is malformed is left out."""
+    if header.strip() == "*":
+        return None
+    return [(bool(weak), text) for weak, text in TAG.findall(header)[:MOST_TAGS]]
+
+
+def _date_ms(header: str) -> float | None:
+    try:
+        moment = parsedate_to_datetime(header)
+    except (ValueError, TypeError, IndexError, OverflowError):
+        return None
+    if moment.tzinfo is None:
+        moment = moment.replace(tzinfo=UTC)
+    return moment.timestamp() * 1000.0
+
+
+def status(method: str, headers: Mapping[str, str], known: Validators) -> int:
+    """Give 200 to go on, 304 or 412, in the order that the standard gives the conditions."""
+    if "if-match" in headers:
+        tags = read_tags(headers["if-match"])
+        if tags is not None and (False, known.digest) not in tags:
+            return 412
+    elif "if-unmodified-since" in headers and known.modified_ms:
+        since = _date_ms(headers["if-unmodified-since"])
+        if since is not None and known.modified_ms // 1000 * 1000 > since:
+            return 412
+    if "if-none-match" in headers:
+        tags = read_tags(headers["if-none-match"])
+        if tags is None or any(text == known.digest for _, text in tags):
+            return 304 if method in ("GET", "HEAD") else 412
+    elif "if-modified-since" in headers and known.modified_ms and method in ("GET", "HEAD"):
+        since = _date_ms(headers["if-modified-since"])
+        if since is not None and known.modified_ms // 1000 * 1000 <= since:
+            return 304
+    return 200
+
+
+def range_applies(headers: Mapping[str, str], known: Validators) -> bool:
+    """Tell whether a Range is to be heeded: always without If-Range, else only for the very same bytes."""
+    condition = headers.get("if-range")
+    if condition is None:
+        return True
+    tags = TAG.findall(condition)
+    if tags:
+        return [(bool(weak), text) for weak, text in tags] == [(False, known.digest)]
+    since = _date_ms(condition)
+    return since is not None and bool(known.modified_ms) and known.modified_ms // 1000 * 1000 == since
--- /dev/null
+++ b/hitchtiller/repo/ranges.py
@@ -0,0 +1,79 @@
+"""Byte ranges (RFC 9110, 14): which bytes a request wants of a body of known size.
+
+Bound: at most MOST ranges, which may not overlap more than once; a header that asks for more is served whole,
+which the standard allows and which costs the attacker what it costs us.
+"""
+
+import re
+from dataclasses import dataclass
+
+MOST = 16
+SPEC = re.compile(r"(\d{1,18})?-(\d{1,18})?\Z")
+
+
+class Unsatisfiable(Exception):
+    """No range lies within the body: 416."""
+
+
+@dataclass(frozen=True, slots=True)
+class Span:
+    """Bytes from `first` up to `end`, the end left out."""
+
+    first: int
+    end: int
+
+    @property
+    def size(self) -> int:
+        """Give the number of bytes."""
+        return self.end - self.first
+
+    def content_range(self, size: int) -> str:
+        """Write the Content-Range."""
+        return f"bytes {self.first}-{self.end - 1}/{size}"
+
+
+def read_ranges(header: str, size: int) -> list[Span] | None:
+    """Read a Range header for a body of `size` bytes.
+
+    None where it is to be passed over (another unit, malformed, too many, overlapping); Unsatisfiable where
+    all of it lies outside.
+    """
+    unit, sign, text = header.partition("=")
+    if not sign or unit.strip().lower() != "bytes":
+        return None
+    specs = [spec.strip(" \t") for spec in text.split(",")]
+    specs = [spec for spec in specs if spec]
+    if not specs or len(specs) > MOST:
+        return None
+    spans: list[Span] = []
+    for spec in specs:
+        match = SPEC.match(spec)
+        if not match or spec == "-":
+            return None
+        first, last = match.groups()
+        if first is None:
+            length = min(int(last), size)
+            if length:
+                spans.append(Span(size - length, size))
+        elif last is not None and int(last) < int(first):
+            return None
+        elif int(first) < size:
+            spans.append(Span(int(first), size if last is None else min(int(last) + 1, size)))
+    if not spans:
+        raise Unsatisfiable
+    ordered = sorted(spans, key=lambda span: span.first)
+    overlaps = sum(a.end > b.first for a, b in zip(ordered, ordered[1:], strict=False))
+    return None if overlaps > 1 else spans
+
+
+def parts_of(span: Span, part_bytes: int) -> list[tuple[int, int, int]]:
+    """Give part number and slice (begin, end) within it for each part that a span needs, in order."""
+    found = []
+    at = span.first
+    while at < span.end:
+        number = at // part_bytes
+        begin = at - number * part_bytes
+        end = min(part_bytes, span.end - number * part_bytes)
+        found.append((number, begin, end))
+        at = number * part_bytes + end
+    return found
--- /dev/null
+++ b/hitchtiller/repo/window.py
@@ -0,0 +1,47 @@
+"""How many parts of a body are under way: grown while the client drains, shrunk when it does not.
+
+Bound: MOST parts of a body at once, so that MOST x 240 kB is the memory of one client's body, plus what its
+socket takes.
+"""
+
+from dataclasses import dataclass
+
+FIRST, MOST = 2, 8
+LOW, HIGH = (
+    120_000,
+    480_000,
+)  # bytes that wait for the client, below which the window grows, above which nothing is asked
+
+
+@dataclass(slots=True)
+class Window:
+    """One body's window."""
+
+    size: int = FIRST
+    open: int = 0  # parts under way
+    early: int = 0  # parts that came before their turn
+
+    def may_ask(self, waiting: int) -> bool:
+        """Tell whether one more part may be asked for, with so many bytes waiting for the client.
+
+        A client that reads slowly holds no attempt open: nothing is asked while HIGH bytes wait for it.
+        """
+        return waiting < HIGH and self.open + self.early < self.size
+
+    def asked(self) -> None:
+        """Note a part that was asked for."""
+        self.open += 1
+
+    def came(self, waiting: int, early: int) -> None:
+        """Note a part that came, with what waits for the client and how many parts came early."""
+        self.open -= 1
+        self.early = early
+        if waiting < LOW:
+            self.size = min(MOST, self.size + 1)
+        elif waiting >= HIGH:
+            self.size = max(1, self.size // 2)
+
+    def failed(self) -> None:
+        """Note a part that did not come: where servers fail, fewer at a time."""
+        self.open -= 1
+        self.size = max(1, self.size // 2)
--- a/hitchtiller/store/disk.py
+++ b/hitchtiller/store/disk.py
@@ -280,7 +280,7 @@
         return True
 
     def stalled(self) -> bool:
-        """Tell whether the folder hangs: the oldest read under way has taken too long. Bound: constant time."""
+        """Tell whether the folder hangs: the oldest read under way has taken too long."""
         oldest = next(iter(self.waits.values()), None)
         return oldest is not None and self.steady() - oldest > STALL_MS
 
--- a/standins/parties.py
+++ b/standins/parties.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from hitchtiller.codec import resp
-from standins.truth import Purge, Truth, now_ms, tag_of
+from standins.truth import Purge, Truth, now_ms
 
 
 @dataclass(slots=True)
@@ -98,7 +98,7 @@
             writer.write(resp.write_command(name, b"BROKE", b"-", b""))
             return
         copy = self._copy(key, part, float(fields.get("cap", 0)))
-        tag = tag_of(key, copy.version)
+        tag = self.truth.tag(key, copy.version)
         since = f"rev={tag},since={int(copy.since_ms)}".encode()
         if fields.get("inm") == tag:
             self.kept += 1
--- /dev/null
+++ b/standins/releases.py
@@ -0,0 +1,96 @@
+"""Terminals fetch while releases are purged and published again: does every one end with a consistent set?
+
+    python -m standins.releases --clients 200 --releases 20 --caches 14 --gateways 3
+
+Exit code 1 if a whole body did not fit the index that its client was given, or a client never had a whole
+set.
+"""
+
+import asyncio
+import random
+import shutil
+import time
+from collections import Counter
+from typing import Any
+
+import click
+import msgspec
+
+from standins.parties import Script
+from standins.repo import RepoTruth, Shop, fetch_set
+from standins.rig import Rig
+
+
+async def play(
+    seed: int, clients: int, releases: int, caches: int, gateways: int, seconds: float
+) -> dict[str, Any]:
+    """Play it; gives what was seen."""
+    rng = random.Random(seed)
+    first = Rig(seed, caches, Script(drop_ms=500.0))
+    truth = RepoTruth()
+    first.truth = truth
+    for server in (*first.caches, first.parent, first.origin):
+        server.truth = truth
+    rigs = [first]
+    for number in range(1, gateways):
+        rigs.append(Rig(seed + number, 1))
+        rigs[-1].share(first)
+    shop = Shop(truth, rng)
+    await shop.publish()
+    counts: Counter[str] = Counter()
+    wrong: list[str] = []
+    took: list[float] = []
+
+    async def client(number: int) -> None:
+        own = random.Random(seed * 1000 + number)
+        await asyncio.sleep(own.uniform(0.0, seconds))
+        begun = time.monotonic()
+        source = f"127.0.{1 + number // 250}.{1 + number % 250}"
+        await fetch_set(rigs[number % len(rigs)].http, source, own, counts, wrong)
+        took.append(time.monotonic() - begun)
+
+    async def publish() -> None:
+        for number in range(releases):
+            await asyncio.sleep(seconds / (releases + 1) * rng.uniform(0.5, 1.5))
+            await shop.publish(back_to=max(1, shop.release - 2) if number % 5 == 4 else 0)
+
+    try:
+        for rig in rigs:
+            rig.disk()
+            rig.repositories()
+            await rig.start()
+        for rig in rigs:
+            await rig.launch()
+        await asyncio.gather(publish(), *(client(number) for number in range(clients)))
+        figures = [await rig.figures() for rig in rigs]
+    finally:
+        for rig in rigs:
+            await rig.kill()
+            shutil.rmtree(rig.folder, ignore_errors=True)
+    took.sort()
+    sums = {
+        name: sum(each.get(name, 0) for each in figures) for name in figures[0] if name.startswith("repo.")
+    }
+    return {
+        "clients": clients, "releases": shop.release, "sets": counts["sets"], "wrong": wrong[:20],
+        "median_s": round(took[len(took) // 2], 2), "slowest_s": round(took[-1], 2),
+        **dict(sorted(counts.items())), **sums,
+    }  # fmt: skip
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option("--clients", default=200, show_default=True, type=click.IntRange(1, 5000))
+@click.option("--releases", default=20, show_default=True, type=click.IntRange(0, 1000))
+@click.option("--caches", default=14, show_default=True, type=click.IntRange(1, 50))
+@click.option("--gateways", default=3, show_default=True, type=click.IntRange(1, 10))
+@click.option("--seconds", default=30.0, show_default=True, type=click.FloatRange(1.0, 600.0))
+def main(**options: Any) -> None:
+    """Publish releases under terminals that fetch them."""
+    result = asyncio.run(play(**options))
+    click.echo(msgspec.json.format(msgspec.json.encode(result)).decode())
+    raise SystemExit(bool(result["wrong"]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/repo.py
@@ -0,0 +1,202 @@
+"""A repository that publishes on a script, and terminals that fetch an index and what it names.
+
+Every publication of a path is a purge of its object, told to gateways a little later, in whatever order the
+script has the index and its files; caches lag behind and hold old bytes. A terminal's set is judged by the
+digests of the very index that it was given: a body that ended well and does not fit is a broken rule, whoever
+would have noticed.
+"""
+
+import asyncio
+import hashlib
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+import h11
+
+from hitchtiller.repo.fetch import ABSENT, PART
+from hitchtiller.repo.kinds.simple import Simple
+from hitchtiller.repo.paths import object_key
+from standins.truth import Purge, Truth, now_ms, tag_of
+
+
+class RepoTruth(Truth):
+    """The head office's paths and their versions."""
+
+    def __init__(self, name: str = "r") -> None:
+        """Hold nothing yet."""
+        super().__init__()
+        self.name = name
+        self.texts: dict[int, list[tuple[float, bytes | None]]] = {}
+
+    def publish(self, path: str, data: bytes | None, told_after_ms: float = 100.0) -> None:
+        """Give out a path anew, or take it away with None."""
+        key = object_key(self.name, path)
+        purge = self.purge(key, -1, now_ms() + told_after_ms)
+        self.texts.setdefault(key, []).append((purge.at_ms, data))
+
+    def group(self, key: int) -> int:
+        """All is of one group."""
+        return -1
+
+    def concerning(self, key: int) -> list[Purge]:
+        """Give the purges of a path."""
+        return self.by_key.get(key, [])
+
+    def size(self, key: int, part: int) -> int:
+        """Untold."""
+        return PART
+
+    def _text(self, key: int, version: int) -> bytes | None:
+        return self.texts[key][version - 1][1] if version else None
+
+    def body(self, key: int, part: int, version: int) -> bytes:
+        """Give a part's bytes; nothing for what is not there."""
+        return (self._text(key, version) or b"")[part * PART : (part + 1) * PART]
+
+    def tag(self, key: int, version: int) -> str:
+        """Give a version's tag."""
+        return ABSENT if self._text(key, version) is None else tag_of(key, version)
+
+
+def wheel(name: str, release: int, size: int) -> bytes:
+    """Make a file's bytes."""
+    seed = hashlib.sha256(f"{name} {release}".encode()).digest()
+    return (seed * (size // 32 + 1))[:size]
+
+
+def page(files: dict[str, bytes]) -> bytes:
+    """Write a project's page."""
+    rows = [
+        f'<a href="../../files/{name}#sha256={hashlib.sha256(data).hexdigest()}">{name}</a><br/>'
+        for name, data in files.items()
+    ]
+    head = '<!DOCTYPE html><html><head><meta name="pypi:repository-version" content="1.0"></head><body>'
+    return (head + "\n".join(rows) + "</body></html>").encode()
+
+
+@dataclass(slots=True)
+class Shop:
+    """Publishes a project's releases: the same paths with other bytes, and one path more each time."""
+
+    truth: RepoTruth
+    rng: random.Random
+    names: tuple[str, ...] = ("demo-1.0-py3-none-any.whl", "demo-1.1-py3-none-any.whl", "demo-1.2.tar.gz")
+    sizes: tuple[int, ...] = (20_000, 700_000, 250_000)
+    release: int = 0
+    files: dict[str, bytes] = field(default_factory=dict)
+
+    async def publish(self, back_to: int = 0) -> None:
+        """Publish the next release, or an older one again, in an order that is drawn."""
+        self.release += 1
+        number = back_to or self.release
+        files = {n: wheel(n, number, s) for n, s in zip(self.names, self.sizes, strict=True)}
+        if number > 1:
+            extra = f"demo-2.{number}-py3-none-any.whl"
+            files[extra] = wheel(extra, number, 5_000)
+        self.files = files
+        steps = [("simple/demo/", page(files)), *((f"files/{name}", data) for name, data in files.items())]
+        order = self.rng.choice(("index first", "files first", "mixed"))
+        if order == "files first":
+            steps.reverse()
+        elif order == "mixed":
+            self.rng.shuffle(steps)
+        for path, data in steps:
+            self.truth.publish(path, data, self.rng.uniform(31.0, 310.0))
+            await asyncio.sleep(self.rng.uniform(0.0, 0.03))
+
+
+@dataclass(slots=True)
+class Got:
+    """One answer; `whole` tells whether its body ended as HTTP has it end."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+async def get(
+    port: int,
+    path: str,
+    headers: dict[str, str] | None = None,
+    source: str = "127.0.0.1",
+    cut: int = 0,
+    method: str = "GET",
+) -> Got:
+    """Ask once on a connection of its own; with `cut` leave after so many bytes of body."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port, local_addr=(source, 0))
+    http = h11.Connection(h11.CLIENT)
+    fields = [("Host", "127.0.0.1"), ("Connection", "close"), *(headers or {}).items()]
+    got = Got(0, {}, b"", False)
+    pieces: list[bytes] = []
+    try:
+        data = http.send(h11.Request(method=method, target=path, headers=fields))
+        writer.write((data or b"") + (http.send(h11.EndOfMessage()) or b""))
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await asyncio.wait_for(reader.read(65_536), 20.0))
+            elif isinstance(event, h11.Response):
+                got.status = event.status_code
+                got.headers = {k.decode().lower(): v.decode() for k, v in event.headers}
+            elif isinstance(event, h11.Data):
+                pieces.append(bytes(event.data))
+                if cut and sum(map(len, pieces)) >= cut:
+                    break
+            elif isinstance(event, h11.EndOfMessage):
+                got.whole = True
+                break
+            else:
+                break
+    except (h11.RemoteProtocolError, ConnectionError, TimeoutError):
+        pass
+    finally:
+        writer.close()
+    got.body = b"".join(pieces)
+    return got
+
+
+async def fetch_set(
+    port: int, source: str, rng: random.Random, counts: Counter[str], wrong: list[str]
+) -> bool:
+    """Fetch index and files as a terminal does, again until all fits; False if that never came to be."""
+    kind, path = Simple(), "/simple/simple/demo/"
+    for _ in range(60):
+        index = await get(port, path, source=source)
+        counts[f"index {index.status}"] += 1
+        if index.status != 200 or not index.whole:
+            await asyncio.sleep(rng.uniform(0.1, 0.4))
+            continue
+        named = kind.parse("simple/demo/", index.body).files
+        fits = True
+        for name, file in named.items():
+            body, tag = b"", ""
+            for _ in range(6):
+                ask = {"Range": f"bytes={len(body)}-", "If-Range": tag} if body and tag else {}
+                cut = rng.randrange(1, 600_000) if rng.random() < 0.1 else 0
+                got = await get(port, f"/simple/{name}", ask, source, cut)
+                counts[f"file {got.status}" + ("" if got.whole else " broken off")] += 1
+                if got.status == 206:
+                    body += got.body
+                elif got.status == 200:
+                    body = got.body
+                tag = got.headers.get("etag", "")
+                if got.whole and got.status in (200, 206):
+                    break
+                if got.status in (404, 416):
+                    break
+                if got.status == 503:
+                    await asyncio.sleep(rng.uniform(0.1, 0.4))
+            digest = hashlib.sha256(body).hexdigest()
+            if got.whole and got.status in (200, 206) and digest != file.digest:
+                wrong.append(f"{name}: a whole body that does not fit the index that was given")
+            if digest != file.digest:
+                fits = False
+                break
+        if fits:
+            counts["sets"] += 1
+            return True
+        counts["sets begun anew"] += 1
+    wrong.append(f"{source}: never had a whole set")
+    return False
--- a/standins/rig.py
+++ b/standins/rig.py
@@ -62,18 +62,28 @@
         (self.folder / "tmp").mkdir()
         self.process: asyncio.subprocess.Process | None = None
         self.lines: list[str] = []
-        self.port = self.control = 0
+        self.port = self.control = self.http = 0
         self.ready_s = 0.0
         self.hcl = ""
         self.command = [sys.executable, "-m", "hitchtiller.cli", "serve"]
         self.cwd = ROOT
         self.tasks: set[asyncio.Task[None]] = set()
 
+    def share(self, other: "Rig") -> None:
+        """Stand among another rig's servers; call before either is started."""
+        self.truth, self.caches, self.parent, self.origin = (
+            other.truth,
+            other.caches,
+            other.parent,
+            other.origin,
+        )
+
     async def start(self) -> None:
-        """Start the servers and the bus."""
+        """Start the servers, those that are not up yet, and the bus."""
         hosts = []
         for place, server in enumerate([*self.caches, self.parent, self.origin]):
-            await server.start()
+            if not server.port:
+                await server.start()
             kind = {len(self.caches): "parent", len(self.caches) + 1: "origin"}.get(place, "box")
             site = "north" if kind == "box" else "hub"
             hosts.append(
@@ -94,6 +104,15 @@
             f'    folder = "{folder}"\n{lines}\n  }}\n}}\n'
         )
 
+    def repositories(self, kind: str = "simple", **more: Any) -> None:
+        """Switch the second front on, for one repository below `pypi/` or `debian/`."""
+        options = {"each_address": 64, "connections": 600} | more
+        lines = "\n".join(f"  {name} = {value}" for name, value in options.items())
+        self.hcl += (
+            f'repo {{\n  listen = "127.0.0.1:0"\n{lines}\n  repository "r" {{\n    kind = "{kind}"\n'
+            f'    class_name = "files"\n    prefix = "{kind}/"\n    grace_s = 5\n  }}\n}}\n'
+        )
+
     async def launch(self, wait_ready: bool = True) -> None:
         """Start the gateway's next life."""
         config = {
@@ -128,6 +147,8 @@
                 self.lines.append(line)
                 if "serving on" in line:
                     self.port = int(PORT.findall(line)[-1])
+                if "repositories on" in line:
+                    self.http = int(PORT.findall(line)[-1])
                 if "control on" in line:
                     self.control = int(PORT.findall(line)[-1])
                 if text in line:
--- a/standins/truth.py
+++ b/standins/truth.py
@@ -83,6 +83,10 @@
         """Give a version's bytes."""
         return make_body(key, part, version, self.size(key, part))
 
+    def tag(self, key: int, version: int) -> str:
+        """Give a version's tag."""
+        return tag_of(key, version)
+
     def judge(self, key: int, part: int, body: bytes, sent_ms: float, got_ms: float) -> str:
         """Judge an answer to a request of `sent_ms`: "" if it is right, else "torn" or "old"."""
         newest = self.version(key, got_ms)
