--- a/hitchtiller/cli/main.py
+++ b/hitchtiller/cli/main.py
@@ -134,3 +134,55 @@
 def replay(**options: Any) -> None:
     """Play traces against the admission policies, with and without a scan; no sockets, no files."""
     run("replay", "replay", **options)
+
+
+@main.group()
+def repo() -> None:
+    """Look at a package repository, by URL or folder, as its clients do."""
+
+
+PLACE = click.argument("place")
+KIND = click.option("--kind", type=click.Choice(["simple", "debian"]), default="simple", show_default=True)
+ROOT = click.option("--index", "root", required=True, help="As simple/NAME/ or dists/SUITE/InRelease.")
+
+
+@repo.command("check")
+@PLACE
+@KIND
+@ROOT
+@JSON
+def repo_check(place: str, kind: str, root: str, as_json: bool) -> None:
+    """Read every file that an index names. Exit code 1 if one is missing or has other bytes."""
+    run("repo", "check", place=place, kind=kind, root=root, as_json=as_json)
+
+
+@repo.command("mirror-plan")
+@PLACE
+@KIND
+@ROOT
+@click.option("--mb-per-s", default=10.0, show_default=True, type=click.FloatRange(0.001))
+@click.option("--stations", default=14, show_default=True, type=click.IntRange(1))
+@JSON
+def repo_plan(place: str, kind: str, root: str, mb_per_s: float, stations: int, as_json: bool) -> None:
+    """Tell bytes, parts and time over a link of a given rate."""
+    run(
+        "repo",
+        "plan",
+        place=place,
+        kind=kind,
+        root=root,
+        mb_per_s=mb_per_s,
+        stations=stations,
+        as_json=as_json,
+    )
+
+
+@repo.command("pull")
+@PLACE
+@click.argument("target", type=click.Path(file_okay=False, path_type=Path))
+@KIND
+@ROOT
+@JSON
+def repo_pull(place: str, target: Path, kind: str, root: str, as_json: bool) -> None:
+    """Fetch a consistent set into TARGET; what broke off goes on, what is there and right is kept."""
+    run("repo", "pull", place=place, target=target, kind=kind, root=root, as_json=as_json)
--- a/hitchtiller/repo/fetch.py
+++ b/hitchtiller/repo/fetch.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from functools import partial
 
 from greenlet import getcurrent, greenlet
 
@@ -16,7 +17,7 @@
 from hitchtiller.exchange import REFUSED, SERVED, Answer, Ask, Exchange
 from hitchtiller.repo.admission import GiveWay
 from hitchtiller.repo.body import Piece
-from hitchtiller.repo.budget import Budget, FileBudget
+from hitchtiller.repo.budget import HEDGE_AFTER, HEDGE_LAST, Budget, FileBudget
 from hitchtiller.repo.window import Window
 from hitchtiller.sched import Scheduler, now_ms
 
@@ -50,6 +51,10 @@
     budget: FileBudget = field(default_factory=FileBudget)
 
 
+def _size(got: Piece | Exception) -> int:
+    return len(got.data) if isinstance(got, Piece) else 0
+
+
 class Fetcher:
     """Asks the engine for parts."""
 
@@ -169,43 +174,65 @@
         numbers: Iterator[int],
         waiting: Callable[[], int],
         fits: Callable[[Piece], bool],
+        total: int = -1,
     ) -> Iterator[tuple[int, Piece]]:
         """Give parts in the order of their numbers, several under way; closing the iterator ends them.
 
         `waiting` tells how many bytes wait for the client: while there are many, nothing more is asked for.
+        With a known `total` of parts, the last ones are asked for a second time where they are late.
         """
         window, me = Window(), getcurrent()
         ready: dict[int, Piece | Exception] = {}
+        out: dict[int, int] = {}  # requests under way for a part
         order: deque[int] = deque()
-        more, closed, parked = True, False, False
+        more, closed, parked, starved = True, False, False, False
 
         def run(number: int) -> None:
             nonlocal parked
+            got: Piece | Exception
             try:
-                ready[number] = self.again(source, number, fits)
+                got = self.again(source, number, fits)
             except (Refused, Failed) as error:
-                ready[number] = error
-            if parked and not closed:
+                got = error
+            out[number] -= 1
+            if closed or number in ready or number not in order:
+                return
+            if isinstance(got, Exception) and out[number]:
+                return  # its second request may still bring it
+            ready[number] = got
+            if parked:
                 parked = False
                 self.sched.wake(me)
 
+        def late(number: int, begun: float) -> None:
+            if closed or number in ready or number not in order:
+                return
+            now = now_ms()
+            if self.budget.hedge(number, total, now - begun, source.budget, source.client, now):
+                out[number] += 1
+                self.sched.spawn(run, number)
+
         try:
             while True:
-                while more and window.may_ask(waiting()):
+                while more and window.may_ask(waiting() + sum(map(_size, ready.values()))):
                     number = next(numbers, None)
                     if number is None:
                         more = False
                         break
                     window.asked()
                     order.append(number)
+                    out[number] = 1
                     self.sched.spawn(run, number)
+                    if total >= 0 and number >= total - HEDGE_LAST and self.budget.usual_ms:
+                        wait = 1.0 + HEDGE_AFTER * self.budget.usual_ms
+                        self.sched.later(wait, partial(late, number, now_ms()))
                 if not order:
                     if not more:
                         return
                     self.sched.sleep(FULL_MS)  # the client takes nothing
                     continue
                 if order[0] not in ready:
-                    parked = True
+                    parked = starved = True
                     self.sched.park()
                     continue
                 number = order.popleft()
@@ -213,7 +240,8 @@
                 if isinstance(got, Exception):
                     window.failed()
                     raise got
-                window.came(waiting(), len(ready))
+                window.came(waiting(), len(ready), starved)
+                starved = False
                 yield number, got
         finally:
             closed = True
--- a/hitchtiller/repo/front.py
+++ b/hitchtiller/repo/front.py
@@ -22,9 +22,10 @@
 
 HEADER, FIELDS = 16_384, 64  # bytes and fields of one request's header
 BODY = 65_536  # bytes of a request's body that are read and dropped
-HIGH = 480_000  # bytes that wait for a client, from which on nothing is added
+HIGH = 240_000  # bytes that wait for a client, from which on nothing is added
 BACKLOG = 512
-LOOK_MS = 20.0
+SEND_BUFFER = 131_072  # bytes that the machine holds for a client: more would hide that it takes nothing
+QUICK_MS, LOOK_MS = 1.0, 20.0  # how often a client that takes something, or nothing, is looked at
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,7 +179,8 @@
         while self.stream.size > HIGH and not self.stream.code:
             if now_ms() - self.stream.progress_ms > self.times.slow_ms:
                 raise Closed("slow")
-            self.sched.sleep(LOOK_MS)
+            moving = now_ms() - self.stream.progress_ms < 10.0 * LOOK_MS
+            self.sched.sleep(QUICK_MS if moving else LOOK_MS)
         if self.stream.code:
             raise Closed(self.stream.code)
 
@@ -244,6 +246,7 @@
             except OSError:
                 self.sched.sleep(10.0)  # out of descriptors, or the client left
                 continue
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
             if code := self.doors.enter(address[0]):
                 self.turned_away[code] = self.turned_away.get(code, 0) + 1
                 sock.close()
--- a/hitchtiller/repo/service.py
+++ b/hitchtiller/repo/service.py
@@ -323,7 +323,8 @@
         yield from assembly.take(0, first)
         if not assembly.done:
             last = -(-assembly.size // PART) if assembly.size >= 0 else 1 << 16
-            parts = self.fetcher.ordered(source, iter(range(1, last)), waiting, assembly.suits)
+            known = last if assembly.size >= 0 else -1
+            parts = self.fetcher.ordered(source, iter(range(1, last)), waiting, assembly.suits, known)
             for number, piece in parts:
                 yield from assembly.take(number, piece)
                 if assembly.done:
--- a/hitchtiller/repo/window.py
+++ b/hitchtiller/repo/window.py
@@ -6,11 +6,11 @@
 
 from dataclasses import dataclass
 
-FIRST, MOST = 2, 8
+FIRST, MOST = 2, 6
 LOW, HIGH = (
-    120_000,
-    480_000,
-)  # bytes that wait for the client, below which the window grows, above which nothing is asked
+    60_000,
+    240_000,
+)  # bytes that wait for the client: below, the window grows; above, nothing is asked
 
 
 @dataclass(slots=True)
@@ -32,11 +32,14 @@
         """Note a part that was asked for."""
         self.open += 1
 
-    def came(self, waiting: int, early: int) -> None:
-        """Note a part that came, with what waits for the client and how many parts came early."""
+    def came(self, waiting: int, early: int, starved: bool = True) -> None:
+        """Note a part that came, with what waits for the client and how many parts came early.
+
+        More at once help only where the body had to wait for the part: a client that is slower needs none.
+        """
         self.open -= 1
         self.early = early
-        if waiting < LOW:
+        if starved and waiting < LOW:
             self.size = min(MOST, self.size + 1)
         elif waiting >= HIGH:
             self.size = max(1, self.size // 2)
--- a/standins/client.py
+++ b/standins/client.py
@@ -85,9 +85,10 @@
             "d": f"{wait_ms:.0f}",
             "o": f"{key:016x}",
             "piece": str(part),
-            "lot": str(self.truth.group(key)),
             "m": f"{self.truth.size(key, part) / 1000.0:.3f}",
         }
+        if (group := self.truth.group(key)) >= 0:
+            fields["lot"] = str(group)
         if have:
             fields["ver"] = have
         if keyed:
--- a/tests/repo/test_repo_live.py
+++ b/tests/repo/test_repo_live.py
@@ -4,6 +4,7 @@
 import base64
 import hashlib
 import io
+import json
 import os
 import random
 import shutil
@@ -14,8 +15,10 @@
 from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 from hostile import CORPUS, GOOD
 
+from hitchtiller.cli.main import main
 from standins import releases
 from standins.repo import RepoTruth, Shop, get, page
 from standins.rig import Rig
@@ -294,3 +297,44 @@
         assert any("repo" in line for line in rig.lines)
 
     played(script)
+
+
+def test_check_plan_and_pull_work_on_a_folder_and_through_a_gateway(tmp_path: Path) -> None:
+    files = {"a-1.0.tar.gz": b"a" * 300_000, "b-1.0.tar.gz": b"b" * 10}
+    (tmp_path / "repo" / "simple" / "demo").mkdir(parents=True)
+    (tmp_path / "repo" / "files").mkdir()
+    (tmp_path / "repo" / "simple" / "demo" / "index.html").write_bytes(page(files))
+    for name, data in files.items():
+        (tmp_path / "repo" / "files" / name).write_bytes(data)
+    run, place = CliRunner(), str(tmp_path / "repo")
+    args = ["--index", "simple/demo/", "--json"]
+    good = run.invoke(main, ["repo", "check", place, *args])
+    assert good.exit_code == 0 and json.loads(good.output)["bytes"] == 300_010
+    plan = json.loads(run.invoke(main, ["repo", "mirror-plan", place, "--mb-per-s", "0.1", *args]).output)
+    assert plan["parts"] == 3 and plan["seconds_a_station"] == 3.0
+    (tmp_path / "repo" / "files" / "b-1.0.tar.gz").write_bytes(b"other")
+    (tmp_path / "repo" / "files" / "a-1.0.tar.gz").unlink()
+    bad = run.invoke(main, ["repo", "check", place, *args])
+    assert bad.exit_code == 1 and len(json.loads(bad.output)["faults"]) == 2
+    assert run.invoke(main, ["repo", "check", str(tmp_path / "none"), *args]).exit_code == 2
+    assert run.invoke(main, ["repo", "check", place, "--index", "simple/none/"]).exit_code == 2
+
+    async def script(rig: Rig, shop: Shop) -> None:
+        target = tmp_path / "out"
+        url = f"http://127.0.0.1:{rig.http}/simple/"
+        half = target / "files" / "demo-1.1-py3-none-any.whl.part"
+        half.parent.mkdir(parents=True)
+        whole = shop.files["demo-1.1-py3-none-any.whl"]
+        got = await get(rig.http, INDEX)
+        head = await get(rig.http, FILE, method="HEAD")
+        half.write_bytes(whole[:400_000])
+        half.with_name("demo-1.1-py3-none-any.whl.tag").write_text(head.headers["etag"])
+        command = [sys.executable, "-m", "hitchtiller.cli", "repo", "pull", url, str(target), *args]
+        pull = await asyncio.create_subprocess_exec(*command, stdout=subprocess.PIPE)
+        out, _ = await asyncio.wait_for(pull.communicate(), 60.0)
+        assert got.status == 200 and pull.returncode == 0 and json.loads(out)["fetched"] == 3
+        for name, data in shop.files.items():
+            assert (target / "files" / name).read_bytes() == data
+        assert not list(target.rglob("*.part")) and not list(target.rglob("*.tag"))
+
+    played(script)
