--- a/hitchtiller/store/jobs.py
+++ b/hitchtiller/store/jobs.py
@@ -6,7 +6,6 @@
 """
 
 import contextlib
-import os
 import queue
 import threading
 import time
@@ -16,6 +15,7 @@
 
 from hitchtiller.log import logger
 from hitchtiller.sched import READ, Scheduler
+from hitchtiller.wake import Wakeup
 
 READ_LANE, WRITE_LANE, LOG_LANE = "read", "write", "log"
 AT_ONCE = 4  # results handed over in one turn of the loop
@@ -55,7 +55,8 @@
         self.queues: dict[str, queue.Queue[tuple[Callable[[], Any], Done] | None]] = {}
         self.results: deque[tuple[str, Done, Any, BaseException | None]] = deque()
         self.open = dict.fromkeys((READ_LANE, WRITE_LANE, LOG_LANE), 0)  # submitted and not handed over
-        self.ear, self.mouth = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
+        self.wakeup = Wakeup()  # no pipe: on the fleet's platform only sockets are sure to be led
+        self.ear = self.wakeup.fileno()
         self.threads: list[threading.Thread] = []
         for lane, many in ((READ_LANE, readers), (WRITE_LANE, 1), (LOG_LANE, 1)):
             self.queues[lane] = queue.Queue(depth)
@@ -85,16 +86,14 @@
             except Exception as fault:  # noqa: BLE001  it is the loop's to judge
                 error = fault
             self.results.append((lane, done, result, error))
-            with contextlib.suppress(BlockingIOError):  # full: the loop has been told already
-                os.write(self.mouth, b"\0")
+            self.wakeup.poke()  # full: the loop has been told already
 
     def _hear(self) -> None:
         while self.ear >= 0:
             self.sched.wait(self.ear, READ)
             if self.ear < 0:
                 return
-            with contextlib.suppress(BlockingIOError):
-                os.read(self.ear, 4096)
+            self.wakeup.drain()
             while self.results:
                 self.drain(AT_ONCE)
                 if self.results:  # guards the loop after a stall, when all that waited ends at once
@@ -129,6 +128,6 @@
             thread.join(patience_s / len(self.threads))
         self.drain()
         self.sched.forget(self.ear)
-        ear, self.ear = self.ear, -1
-        os.close(ear)
+        self.ear = -1
+        self.wakeup.close()
         return not any(thread.is_alive() for thread in self.threads)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,144 @@
+"""What the fleet's platform refuses is used nowhere in the gateway, and the wake-ups that replace it work."""
+
+import ast
+import signal
+import threading
+import tomllib
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from hitchtiller.sched import Scheduler
+from hitchtiller.signals import Signals
+from hitchtiller.wake import Wakeup
+
+ROOT = Path(__file__).resolve().parent.parent
+# Names whose use means a refused call: other programs, fork, Unix sockets, pipes the platform may not lead,
+# zero-copy calls, IPv6.
+REFUSED = {
+    "socketpair",
+    "pipe",
+    "pipe2",
+    "mkfifo",
+    "fork",
+    "forkpty",
+    "posix_spawn",
+    "posix_spawnp",
+    "system",
+    "popen",
+    "execv",
+    "execve",
+    "execvp",
+    "execl",
+    "execlp",
+    "spawnv",
+    "spawnl",
+    "sendfile",
+    "splice",
+    "copy_file_range",
+    "AF_UNIX",
+    "AF_INET6",
+    "register_at_fork",
+}
+REFUSED_MODULES = {"subprocess", "multiprocessing", "pty", "concurrent.futures.process"}
+
+
+def gateway_files() -> Iterator[Path]:
+    """Every Python file that the deploy file names as the real gateway's."""
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    for name in [*deploy["node"], *deploy["policy"]]:
+        path = ROOT / name
+        yield from sorted(path.rglob("*.py")) if path.is_dir() else [path]
+
+
+def refused_uses(source: str) -> list[tuple[int, str]]:
+    """Give the line and name of each refused call or import in a module's source."""
+    found = []
+    for node in ast.walk(ast.parse(source)):
+        if isinstance(node, ast.Attribute) and node.attr in REFUSED:
+            found.append((node.lineno, node.attr))
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            found += [(node.lineno, f"{node.module}.{a.name}") for a in node.names if a.name in REFUSED]
+            if node.module in REFUSED_MODULES:
+                found.append((node.lineno, node.module))
+        elif isinstance(node, ast.Import):
+            found += [(node.lineno, a.name) for a in node.names if a.name in REFUSED_MODULES]
+    return found
+
+
+def test_the_checker_finds_each_kind_of_refused_use() -> None:
+    assert refused_uses("import socket\na, b = socket.socketpair()\n") == [(2, "socketpair")]
+    assert refused_uses("import os\nr, w = os.pipe2(0)\n") == [(2, "pipe2")]
+    assert refused_uses("from os import fork\n") == [(1, "os.fork")]
+    assert refused_uses("import subprocess\n") == [(1, "subprocess")]
+    assert refused_uses("import socket\ns = socket.socket(socket.AF_UNIX)\n") == [(2, "AF_UNIX")]
+    assert refused_uses("import socket\ns = socket.socket(socket.AF_INET)\n") == []
+
+
+def test_no_file_of_the_gateway_uses_a_call_the_platform_refuses() -> None:
+    files = list(gateway_files())
+    assert len(files) > 40  # the deploy file's list was read, not an empty one
+    found = {
+        f"{path.relative_to(ROOT)}:{line} {name}"
+        for path in files
+        for line, name in refused_uses(path.read_text())
+    }
+    assert not found, "refused on the fleet's platform: " + ", ".join(sorted(found))
+
+
+def test_a_poke_from_another_thread_wakes_the_loop() -> None:
+    sched, wakeup, got = Scheduler(), Wakeup(), []
+
+    def wait() -> None:
+        sched.wait(wakeup.fileno(), 1)
+        got.append(wakeup.drain())
+        sched.stopped = True
+
+    sched.spawn(wait)
+    sched.turn()  # the greenlet now waits on the descriptor
+    threading.Thread(target=wakeup.poke, args=(7,)).start()
+    sched.run()
+    wakeup.close()
+    assert got == [b"\x07"]
+
+
+def test_a_full_socket_drops_pokes_without_an_error() -> None:
+    wakeup = Wakeup()
+    for _ in range(100_000):  # far beyond a datagram socket's buffer
+        wakeup.poke()
+    assert 0 < len(wakeup.drain(most=1_000_000)) < 100_000
+    assert wakeup.drain() == b""
+    wakeup.close()
+
+
+def test_the_wakeup_takes_no_datagram_from_another_socket() -> None:
+    import socket
+
+    wakeup = Wakeup()
+    other = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    other.sendto(b"x", wakeup.sock.getsockname())
+    wakeup.poke(1)
+    assert wakeup.drain() == b"\x01"
+    other.close()
+    wakeup.close()
+
+
+@pytest.mark.skipif(not hasattr(signal, "SIGUSR1"), reason="needs SIGUSR1")
+def test_a_signal_reaches_its_call_through_the_loopback_wakeup() -> None:
+    sched, heard = Scheduler(), []
+
+    def call() -> None:
+        heard.append(signal.SIGUSR1)
+        sched.stopped = True
+
+    old = signal.getsignal(signal.SIGUSR1)
+    try:
+        Signals(sched, {signal.SIGUSR1: call})
+        sched.turn()
+        signal.raise_signal(signal.SIGUSR1)
+        sched.run()
+    finally:
+        signal.set_wakeup_fd(-1)
+        signal.signal(signal.SIGUSR1, old)
+    assert heard == [signal.SIGUSR1]
