Signals wake the loop by raising inside poll, not through any descriptor

Node logs showed neither "configuration taken" (SIGHUP) nor "told to stop" (SIGTERM). A probe wrote a line from the handler and another after draining: handlers ran at once (SIGTERM at 10.551 s), but nothing was ever drained, both with set_wakeup_fd's write from C and with a send from a Python handler. The platform leads a socket's send and poll; a datagram to oneself is not delivered there.

Change: Scheduler.signal queues the call and, while the loop is in poll or about to enter it, raises Woken, which poll (retried after EINTR) hands back at once; turn() spawns the queued calls. Signals no longer holds a descriptor. The UDP wake-up stays for the store's worker threads under `hitchtiller serve` only. Tests: a signal before the loop waits, and one sent to the main thread while it polls with no timer (fails with the raise taken out, checked).

--- a/hitchtiller/sched.py
+++ b/hitchtiller/sched.py
@@ -41,6 +41,10 @@
         self.call = None
 
 
+class Woken(Exception):  # noqa: N818  it is no error: the name says what happened
+    """A signal came while the loop waited in poll: raised by its handler so that poll returns at once."""
+
+
 class Scheduler:
     """Runs greenlets on one thread; each waits for a socket, a signal or a time."""
 
@@ -57,6 +61,8 @@
         self.stopped = False
         self.seen_ms = self.arrival_ms = now_ms()
         self.lag_ms = 0.0  # longest turn of the loop since it was last read
+        self.signalled: deque[Callable[[], object]] = deque()  # calls of signals not yet begun
+        self.polling = False  # the loop is in poll, or about to be: a signal has to break it
 
     def spawn(self, run: Callable[..., object], *args: Any, urgent: bool = False) -> greenlet:
         """Start a greenlet; an exception in it is logged and ends it alone, never the loop."""
@@ -154,6 +160,19 @@
         while not self.stopped:
             self.turn()
 
+    def signal(self, call: Callable[[], object]) -> None:
+        """Run `call` in a greenlet of its own at the next turn; made from a signal handler, in no greenlet.
+
+        No descriptor is written: the fleet's platform refuses socketpair and leads a socket's send and
+        poll to itself, and neither a write from C nor a datagram to oneself was ever seen there. A handler
+        runs in the main thread between two steps of Python, or inside poll on EINTR; if the loop is in
+        poll, or about to enter it, the handler raises `Woken`, which poll gives back at once.
+        """
+        self.signalled.append(call)
+        if self.polling:
+            self.polling = False  # once: a second signal in the same turn must not raise outside the try
+            raise Woken
+
     def turn(self) -> None:
         """Wait for what comes first, then run all that is due."""
         timeout = None
@@ -163,10 +182,17 @@
             timeout = max(0.0, (self.heap[0][0] - time.monotonic()) * 1000.0)
         asked = time.monotonic()
         try:
+            self.polling = True
+            if self.signalled:  # came before the flag was up: nobody else would break the wait
+                timeout = 0.0
             # poll counts whole milliseconds; rounding up keeps a timer from spinning the loop
             found = self.poll.poll(None if timeout is None else int(timeout + 0.999))
-        except InterruptedError:
+            self.polling = False
+        except (InterruptedError, Woken):  # what poll had found is found again: poll is level-triggered
+            self.polling = False
             found = []
+        while self.signalled:
+            self.spawn(self.signalled.popleft())
         begun = time.monotonic()
         # what has come since the last look may be that old, unless poll had to wait for it: deadlines of
         # requests that lay unread in a busy turn are counted from here
--- a/hitchtiller/signals.py
+++ b/hitchtiller/signals.py
@@ -1,10 +1,16 @@
-"""Signals as calls in greenlets of their own: the loop reads their numbers, nothing runs in a handler."""
+"""Signals as calls in greenlets of their own: a handler only hands its call to the loop, nothing runs in it.
+
+The loop is woken without a descriptor (see `Scheduler.signal`): on the fleet's platform a socketpair is
+refused, and a write from C or a datagram to oneself never woke a led poll. A process-directed signal
+reaches the main thread, where the loop polls; should one land on another thread, the loop's next timer
+(at most 1 s away, by the collector's tidy) takes it up.
+"""
 
 import signal
 from collections.abc import Callable, Mapping
+from types import FrameType
 
-from hitchtiller.sched import READ, Scheduler
-from hitchtiller.wake import Wakeup
+from hitchtiller.sched import Scheduler
 
 
 class Signals:
@@ -13,15 +19,9 @@
     def __init__(self, sched: Scheduler, calls: Mapping[int, Callable[[], None]]) -> None:
         """Take the signals over; guards against one without a handler, which would end the program."""
         self.sched, self.calls = sched, calls
-        self.wakeup = Wakeup()  # a loopback datagram socket: the fleet's platform refuses socketpair
-        signal.set_wakeup_fd(self.wakeup.fileno(), warn_on_full_buffer=False)
         for number in calls:
-            signal.signal(number, lambda *_: None)
-        sched.spawn(self._wait)
+            signal.signal(number, self._heard)
 
-    def _wait(self) -> None:
-        while True:
-            self.sched.wait(self.wakeup.fileno(), READ)
-            for number in self.wakeup.drain():  # guards against taking any signal for SIGTERM
-                if call := self.calls.get(number):
-                    self.sched.spawn(call)
+    def _heard(self, number: int, _: FrameType | None) -> None:
+        if call := self.calls.get(number):  # guards against taking any signal for SIGTERM
+            self.sched.signal(call)
--- a/hitchtiller/wake.py
+++ b/hitchtiller/wake.py
@@ -1,10 +1,11 @@
 """A descriptor that wakes the loop: one UDP socket on loopback, connected to itself.
 
 The fleet's platform gives a process TCP and UDP over IPv4 and nothing else: no Unix sockets (so no
-`socketpair`), no fork, no child programs. A pipe is not named among the refused calls, but the platform
-leads every wait to its own clock, and only sockets are sure to be led. So the signals' wake-up and the
-store's worker threads both write into one datagram socket bound to 127.0.0.1 on a port the kernel picks
-and connected to that same address: it takes datagrams from itself alone, so nobody else can reach it.
+`socketpair`), no fork, no child programs. So the store's worker threads write into one datagram socket
+bound to 127.0.0.1 on a port the kernel picks and connected to that same address: it takes datagrams from
+itself alone, so nobody else can reach it. It serves `hitchtiller serve` on an ordinary kernel; on the
+fleet's platform a datagram to oneself was never seen (a rough roll+mass, seed 3), which is why signals
+wake the loop without any descriptor (`Scheduler.signal`).
 
 Bounds: one descriptor; each `poke` is one datagram of one byte, dropped when the socket's buffer is full
 (the loop has been told already); `drain` reads at most `most` datagrams in one turn.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,8 +7,6 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-import pytest
-
 from hitchtiller.sched import Scheduler
 from hitchtiller.signals import Signals
 from hitchtiller.wake import Wakeup
@@ -124,21 +122,53 @@
     wakeup.close()
 
 
-@pytest.mark.skipif(not hasattr(signal, "SIGUSR1"), reason="needs SIGUSR1")
-def test_a_signal_reaches_its_call_through_the_loopback_wakeup() -> None:
-    sched, heard = Scheduler(), []
+def listen(sched: Scheduler, number: int) -> list[int]:
+    heard: list[int] = []
 
     def call() -> None:
-        heard.append(signal.SIGUSR1)
+        heard.append(number)
         sched.stopped = True
 
+    Signals(sched, {number: call})
+    return heard
+
+
+def test_a_signal_before_the_loop_waits_is_taken_at_the_next_turn() -> None:
+    sched = Scheduler()
     old = signal.getsignal(signal.SIGUSR1)
     try:
-        Signals(sched, {signal.SIGUSR1: call})
-        sched.turn()
-        signal.raise_signal(signal.SIGUSR1)
+        heard = listen(sched, signal.SIGUSR1)
+        signal.raise_signal(signal.SIGUSR1)  # its handler runs here, outside poll
         sched.run()
     finally:
-        signal.set_wakeup_fd(-1)
         signal.signal(signal.SIGUSR1, old)
     assert heard == [signal.SIGUSR1]
+
+
+def test_a_signal_breaks_a_poll_that_has_nothing_else_to_wait_for() -> None:
+    """No timer, no descriptor: without `Woken` this turn would wait for ever (the alarm ends the test)."""
+    sched, main = Scheduler(), threading.get_ident()
+    old = signal.getsignal(signal.SIGUSR1), signal.getsignal(signal.SIGALRM)
+
+    def send_when_polling() -> None:
+        for _ in range(2000):  # bounded: 2 s at most
+            if sched.polling:
+                break
+            threading.Event().wait(0.001)
+        threading.Event().wait(0.01)  # so that the main thread is inside poll, not just past the flag
+        signal.pthread_kill(main, signal.SIGUSR1)
+
+    def too_long(*_: object) -> None:
+        raise TimeoutError("the signal did not break the wait")
+
+    try:
+        heard = listen(sched, signal.SIGUSR1)
+        signal.signal(signal.SIGALRM, too_long)
+        signal.alarm(5)
+        threading.Thread(target=send_when_polling, daemon=True).start()
+        sched.run()
+    finally:
+        signal.alarm(0)
+        signal.signal(signal.SIGUSR1, old[0])
+        signal.signal(signal.SIGALRM, old[1])
+    assert heard == [signal.SIGUSR1] and not sched.polling
