A cold station cache is shared by a few gateways of its zone, agreed by hash

The cold guard divided a station cache's budget by every gateway of the zone (users = here) and took one attempt's cost off each share. The guard kept the rule by starving every replaced cache, so the warm ones took all of it.

Change (decide.py, cold_rate): the rule that cold parents had, now for station caches too. Few = half the bound over one attempt's cost; exactly `few` gateways of the zone use the cache, picked by (index in zone x 7919 + salt) mod zone size, which is one-to-one below 7919; each takes bound / few.

--- a/hitchtiller/decide.py
+++ b/hitchtiller/decide.py
@@ -73,6 +73,8 @@
         link = settings.link_kb_per_s[zone] if settings.link_kb_per_s else 0.0
         self.room = link / (settings.flow_kb_per_s or math.inf) or 8.0  # transfers on my zone's link
         self.here = max(1, settings.gateways_in_zone[zone]) if settings.gateways_in_zone else 1
+        mine = settings.my_number - sum(settings.gateways_in_zone[:zone])  # numbered zone by zone, else -1
+        self.in_zone = mine if 0 <= mine < self.here and settings.gateways_in_zone else -1
 
     def handle(self, event: api.Event, now_ms: float) -> list[api.Action]:
         """Decide on one event; the actions are to be carried out in this order."""
@@ -118,11 +120,13 @@
             return math.inf
         able = node.m.weight * (share + (1.0 - share) * max(0.0, self.now - node.m.started_ms) / ramp)
         bound, cost = COLD_SAFETY * able * multiple, max(self.mean.values()) / s.fall_ms
-        few = max(1, min(s.group_size, int(bound / cost / 2.0)))  # gateways that may use it, agreed by hash:
-        users = few if parent else self.here  # one attempt of each in a large group would push it over
-        if parent and (s.my_number * TURN + node.salt) % s.group_size >= few:
+        few = max(1, int(bound / cost / 2.0))  # gateways that may use it, by a one-to-one hash:
+        pool, mine = (s.group_size, s.my_number) if parent else (self.here, self.in_zone)  # one attempt of
+        if pool <= few or mine < 0:  # each in a large zone would push it over: all of 40 gave it nothing
+            return max(0.0, min(COLD_LOAD * able / pool, bound / pool - cost))
+        if (mine * TURN + node.salt) % pool >= few:
             return 0.0
-        return max(0.0, min(COLD_LOAD * able / users, bound / users - cost))
+        return max(0.0, min(COLD_LOAD * able / few, bound / few - cost))
 
     def admits(self, node: Node) -> bool:
         """Tell whether a cold server's debt is paid off, so that it may get one more."""
--- /dev/null
+++ b/tests/test_fleet_size.py
@@ -0,0 +1,84 @@
+"""What a fleet pays together: one cold station cache under 3, 40 and 200 gateways of one zone.
+
+Each gateway's decisions run alone; the fleet's total is only the sum of what each sent. The rule (no cold
+cache pushed over by all gateways together) bounds that sum over any second by the fall multiple times what
+the cache can do; the worth wants the cache used while it warms, not starved until it is warm.
+"""
+
+from dataclasses import replace
+
+import pytest
+from conftest import FLEET, Bench, gets
+
+from hitchtiller import interface as api
+
+RAMP_MS, SHARE, MULTIPLE, WEIGHT, WORK_MS = 16_000.0, 0.17, 3.0, 8.0, 400.0
+
+
+def able(at_ms: float) -> float:
+    """Work a ms that the cold cache can do at this time."""
+    return WEIGHT * (SHARE + (1.0 - SHARE) * min(1.0, at_ms / RAMP_MS))
+
+
+def fleet_sends(gateways: int, seconds: int = 8, rate_per_s: int = 400) -> list[float]:
+    """Run a zone of gateways that share the fleet's requests; give each send to the cold cache's time."""
+    cold = tuple(replace(m, started_ms=1.0) if m.server == "c0" else m for m in FLEET)
+    benches = []
+    for number in range(gateways):
+        bench = Bench(my_number=number, group_size=gateways, gateways_in_zone=(0, gateways, 0),
+                      siblings="none", notes="none", fall_multiple=MULTIPLE, cold_share=SHARE,
+                      cold_ms=RAMP_MS)  # fmt: skip
+        bench.router.mean = dict.fromkeys(bench.router.mean, WORK_MS)
+        bench.give(api.Members(cold, whole=True), 1.0)
+        benches.append(bench)
+    sent = []
+    for id in range(seconds * rate_per_s):  # the fleet's requests, dealt round the gateways
+        bench = benches[id % gateways]
+        bench.now = 1.0 + 1000.0 * id / rate_per_s
+        for get in gets(bench.ask(id, key=id, name="big", size_kb=400.0)):
+            if "c0" in (get.server, get.source):
+                sent.append(bench.now)
+            bench.give(api.Outcome(id, 0, get.server, "done", 1.0, True))
+    return sent
+
+
+@pytest.mark.parametrize("gateways", [3, 40, 200])
+def test_all_gateways_together_keep_a_cold_cache_under_its_fall_multiple(gateways: int) -> None:
+    sent = fleet_sends(gateways)
+    for start in sent:
+        window = sum(start <= at < start + 1000.0 for at in sent)
+        assert WORK_MS * window <= MULTIPLE * able(start + 1000.0) * 1000.0
+
+
+@pytest.mark.parametrize("gateways", [3, 40, 200])
+def test_a_cold_cache_is_used_while_it_warms_whatever_the_fleet(gateways: int) -> None:
+    """Before its use was agreed by hash, 40 or 200 gateways each sent it nothing for its whole ramp."""
+    sent = fleet_sends(gateways)
+    for second in range(1, 8):
+        work = WORK_MS * sum(second * 1000.0 <= at < (second + 1) * 1000.0 for at in sent)
+        assert work >= 0.1 * able(second * 1000.0) * 1000.0, f"second {second}: {work:.0f} ms of work"
+
+
+def test_only_a_few_gateways_of_a_large_zone_use_a_cold_cache() -> None:
+    users = set()
+    cold = tuple(replace(m, started_ms=1.0) if m.server == "c0" else m for m in FLEET)
+    for number in range(200):
+        bench = Bench(my_number=number, group_size=200, gateways_in_zone=(0, 200, 0), cold_share=SHARE,
+                      cold_ms=RAMP_MS, fall_multiple=MULTIPLE)  # fmt: skip
+        bench.router.mean = dict.fromkeys(bench.router.mean, WORK_MS)
+        bench.give(api.Members(cold, whole=True), 1.0)
+        node = bench.router.nodes["c0"]
+        if bench.router.cold_rate(node) > 0.0:
+            users.add(number)
+    assert 1 <= len(users) < 20
+
+
+def test_a_number_outside_the_zone_shares_the_cache_with_all_as_before() -> None:
+    """Where the numbering does not run zone by zone, each gateway takes its share of all, which is safe."""
+    cold = tuple(replace(m, started_ms=1.0) if m.server == "c0" else m for m in FLEET)
+    bench = Bench(my_number=250, group_size=300, gateways_in_zone=(0, 40, 0), cold_share=SHARE,
+                  cold_ms=RAMP_MS, fall_multiple=MULTIPLE)  # fmt: skip
+    bench.router.mean = dict.fromkeys(bench.router.mean, WORK_MS)
+    bench.give(api.Members(cold, whole=True), 1.0)
+    assert bench.router.in_zone == -1
+    assert bench.router.cold_rate(bench.router.nodes["c0"]) == 0.0  # a fortieth: under one attempt
