A server that refused a connection is taken as cold until the list tells otherwise

Change (decide.py, judge): a refused connection proves the process is gone, and such a server comes back cold and empty; its start time is taken to be now, so the cold guard holds it. A later list overrides this.

The test fails without the change (checked).

--- a/hitchtiller/decide.py
+++ b/hitchtiller/decide.py
@@ -373,6 +373,8 @@
             self.fault(attempt, "doubt")
         elif event.status in BLAME and not (event.status == "econnreset" and attempt.sent <= node.broke_ms):
             node.broke_ms = self.now if event.status == "econnreset" else node.broke_ms
+            if event.status == "econnrefused" and node.m.kind != self.s.origin_kind:  # its process is gone:
+                node.m = replace(node.m, started_ms=self.now)  # back cold, maybe before the list says so
             self.fault(attempt, event.status)
 
     def fault(self, attempt: Attempt, status: str) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,6 @@
 """The five rules, guard by guard, without the bench."""
 
+import math
 from dataclasses import replace
 
 import pytest
@@ -234,3 +235,18 @@
     for second in range(5):
         able = 30.0 * (0.1 + 0.9 * (second + 0.5) / 20.0) * 1000.0
         assert 0.1 * able < sent[second] <= 2.0 * able
+
+
+def test_a_cache_that_refused_a_connection_is_taken_as_cold_until_the_list_tells() -> None:
+    """Its process is gone and comes back empty, maybe before a late list says it started anew."""
+    bench = Bench()
+    bench.router.mean = dict.fromkeys(bench.router.mean, 400.0)
+    node = bench.router.nodes["c0"]
+    assert bench.router.cold_rate(node) == math.inf
+    bench.now = 5000.0
+    (get,) = gets(bench.ask(1, key=1))
+    bench.give(api.Outcome(get.id, 0, get.server, "econnrefused", 1.0))
+    refused = bench.router.nodes[get.server]
+    assert refused.m.started_ms == 5000.0 and bench.router.cold_rate(refused) < math.inf
+    bench.give(api.Members(FLEET, whole=True), 6000.0)  # the list knows better: it never started anew
+    assert bench.router.cold_rate(bench.router.nodes[get.server]) == math.inf
