A refused server's presumed start is kept apart from its listed one

Seen on reading the change again: the refused-as-cold change wrote the presumed start into the member record. on_members takes any record whose start differs from the held one as a restart and clears blame, out time and debt, so a whole list that merely repeated the old record wiped the blame of a server that was refusing, which was then tried again at once.

Change: Node.refused_ms holds the time of the refusal; the cold guard takes the later of it and the listed start; a record that tells a new start clears it; the member record is left as the list gave it.

--- a/hitchtiller/decide.py
+++ b/hitchtiller/decide.py
@@ -97,6 +97,7 @@
                 self.nodes[member.server] = Node(member, salt, self.now, member.started_ms or -math.inf)
                 continue
             if member.started_ms != node.m.started_ms or node.m.state != "SERVING":
+                node.refused_ms = 0.0 if member.started_ms != node.m.started_ms else node.refused_ms
                 node.blame = node.out_until = node.debt_ms = 0.0
                 node.joined_ms, node.trial = self.now, False
             node.m = member
@@ -116,9 +117,10 @@
         ramp, share, multiple = s.cold_ms, s.cold_share, s.fall_multiple
         if parent:
             ramp, share, multiple = s.parent_cold_ms, s.parent_cold_share, s.parent_fall_multiple
-        if node.m.kind == s.origin_kind or not node.m.started_ms or self.now - node.m.started_ms >= ramp:
+        start = max(node.m.started_ms, node.refused_ms)  # a refusal: its process was gone, back cold
+        if node.m.kind == s.origin_kind or not start or self.now - start >= ramp:
             return math.inf
-        able = node.m.weight * (share + (1.0 - share) * max(0.0, self.now - node.m.started_ms) / ramp)
+        able = node.m.weight * (share + (1.0 - share) * max(0.0, self.now - start) / ramp)
         bound, cost = COLD_SAFETY * able * multiple, max(self.mean.values()) / s.fall_ms
         few = max(1, int(bound / cost / 2.0))  # gateways that may use it, by a one-to-one hash:
         pool, mine = (s.group_size, s.my_number) if parent else (self.here, self.in_zone)  # one attempt of
@@ -130,7 +132,7 @@
 
     def admits(self, node: Node) -> bool:
         """Tell whether a cold server's debt is paid off, so that it may get one more."""
-        if not node.m.started_ms:
+        if not node.m.started_ms and not node.refused_ms:
             return True
         rate, passed = self.cold_rate(node), self.now - node.debt_at
         node.debt_at = self.now
@@ -373,8 +375,8 @@
             self.fault(attempt, "doubt")
         elif event.status in BLAME and not (event.status == "econnreset" and attempt.sent <= node.broke_ms):
             node.broke_ms = self.now if event.status == "econnreset" else node.broke_ms
-            if event.status == "econnrefused" and node.m.kind != self.s.origin_kind:  # its process is gone:
-                node.m = replace(node.m, started_ms=self.now)  # back cold, maybe before the list says so
+            if event.status == "econnrefused":  # its process is gone: back cold, maybe before the list tells
+                node.refused_ms = self.now
             self.fault(attempt, event.status)
 
     def fault(self, attempt: Attempt, status: str) -> None:
--- a/hitchtiller/records.py
+++ b/hitchtiller/records.py
@@ -44,6 +44,7 @@
     out_until: float = 0.0  # left out until then
     ejections: int = 0
     broke_ms: float = -1.0  # when a connection to it last broke
+    refused_ms: float = 0.0  # when it refused a connection: it comes back cold; 0: not since its listed start
     trial: bool = False  # back on trial: one attempt at a time
 
 
