Fills straight from the origin are bounded over the whole fleet, not 24 a gateway

Checked: the stations' links are not it (9 transfers each; distinct wants by station add up to about 50 a second against 55). The line at fault: `n.flights < ORIGIN` in `source`, 24 for each gateway, so 960 for 40.

Change: ORIGIN is the fleet's, divided by the gateways of the tier, one each at the least. Writes are not bounded by it, as before. The bound over 200 gateways is 200.

--- a/hitchtiller/decide.py
+++ b/hitchtiller/decide.py
@@ -24,7 +24,7 @@
 AGAIN_MS = 500.0  # wait before a silent home router, or discovery, is asked again
 # Guards
 COLD_SAFETY, COLD_LOAD = 0.55, 0.8  # of a cold server's multiple, and of what it can do: falls or waste
-ORIGIN = 24  # my attempts at the origin at once: room when parents are lost or a load that stops it
+ORIGIN = 24  # fills straight from the origin at once, of all gateways together (one each at the least)
 MARGIN_MS, TURN = 100.0, 7919  # kept from the ends of windows: clocks and ways; a prime, spreads gateways
 # Health
 BLAME = {"err": 0.25, "econnreset": 0.25, "econnrefused": 0.4, "busy": 0.2, "silence": 0.3, "slow": 0.15,
@@ -217,7 +217,8 @@
         for node in [n for n in wide if n.m.zone == self.hub][:1] + wide:
             if not held.cls.write and self.admits(node):
                 return node
-        return next((n for n in self.origins if held.cls.write or n.flights < ORIGIN), None)
+        most = max(1, ORIGIN // self.s.group_size)  # 24 each from 40 gateways shared a thin link: none ended
+        return next((n for n in self.origins if held.cls.write or n.flights < most), None)
 
     def count(self, held: Held) -> int:
         """Count a request for an object: its rank when kept, and how many caches should share it."""
