A jammed source is asked for fewer and smaller fills, by each fill that missed its aim

The lines at fault: `source.blame - JAM` in `start` turns away at most 0.8 of the fills, and blame, which each answer forgives by a fifth, hits included, is near 0 again after a few hits; a fill after a look that found nothing was not held back at all.

Change: routing/fills.py keeps the largest fill a source is asked for, as a share of the mean: less for each fill that missed its aim or was turned away, more for each prompt one. `blame` is about health again only. The bound over 200 gateways is in the docstring.

--- a/hitchtiller/decide.py
+++ b/hitchtiller/decide.py
@@ -37,7 +37,6 @@
 RETRY_EARN, RETRY_BANK = 0.2, 20.0  # further attempts earned by a request, saved at most: rescue or load
 WAY, WAY_COST = ("econnreset", "econnrefused", "etimedout"), 0.25  # a break may hit many at once
 RETRY_AFTER_MS, LEARN = 400.0, 0.02  # mean advice to a refused client; weight of one size in a class's mean
-JAM = 0.2  # blame of a source from which on so many fewer fills are asked of it, held copies only
 IN_TIME, UNTOLD = 0.65, 0.6  # expected time over the aim to shed at; an untold size over the mean (median)
 
 NEVER_RAN = ("busy", "econnrefused", "skipped", "enoent")
@@ -255,16 +254,22 @@
             self.send(held, node, node, "look")
         else:
             source = self.source(held)
-            if not held.cls.write and (not source or self.rng.random() < source.blame - JAM):
+            if not held.cls.write and (not source or not self.fillable(held, source)):
                 return self.send(held, node, node, "only")  # exception: hits stay prompt while fills jam
             self.send(held, node, source, "fill")
 
+    def fillable(self, held: Held, source: Node) -> bool:
+        """Tell whether a source may be asked for a fill of this size now."""
+        return source.fills.admits(held.work, max(self.mean.values()), self.rng.random())
+
     def send(self, held: Held, node: Node | None, source: Node | None, stage: str) -> None:
         """Run the guards, then send; what may not be sent is given up at once."""
         servers = [n for n in (node, source) if n and n.m.state == "SERVING"]  # drain guard, for sources too
         if not node or not source or len(servers) < 2 or not self.may_send(held, node):
             return self.give_up(held)
-        self.flights[held.ask.id, held.shots] = attempt = Attempt(node, source, stage, self.now, held.work)
+        aim = held.cls.aim_ms + held.cls.aim_stretch * held.work
+        attempt = Attempt(node, source, stage, self.now, held.work, aim)
+        self.flights[held.ask.id, held.shots] = attempt
         self.book(attempt, 1)
         for server in servers[: 1 + (source is not node)]:
             server.debt_ms += self.mean[held.cls.name]
@@ -351,7 +356,10 @@
         elif sibling and sibling is not node and self.may_fill(sibling, self.s.my_zone):
             self.send(held, node, sibling, "sibling")
         else:
-            self.send(held, node, self.source(held), "fill")
+            source = self.source(held)
+            if source and not self.fillable(held, source):
+                return self.give_up(held)
+            self.send(held, node, source, "fill")
 
     def on_left(self, event: api.Left) -> None:
         """Forget a request, also where it waits for a home router."""
@@ -364,6 +372,10 @@
     def judge(self, held: Held | None, attempt: Attempt, event: api.Outcome) -> None:
         """Blame failures: an error in full only if another attempt is served, a break only once."""
         node, source = attempt.node, attempt.source
+        if event.status == "busy" or (event.status == "done" and self.now - attempt.sent > attempt.aim):
+            self.slow(attempt)
+        elif event.status == "done" and source is not node:
+            source.fills.grow()
         if event.status in ("done", "enoent"):
             self.clear(node)
             unknown = self.s.notes == "none" and event.status == "done"
@@ -411,9 +423,17 @@
         stuck = [shot for shot, a in self.flights.items() if a.node is node or (a.source is node and a.late)]
         self.acts += [api.Cancel(*shot) for shot in stuck if self.s.cancel]  # to find another way
 
+    def slow(self, attempt: Attempt) -> None:
+        """Ask a source for less after a fill that missed its aim, once for each."""
+        if not attempt.slow and attempt.source is not attempt.node:
+            attempt.source.fills.shrink()
+        attempt.slow = True
+
     def watch(self, attempt: Attempt) -> None:
         """Blame an overdue attempt, on its source if its cache answered since."""
         node, source, age = attempt.node, attempt.source, self.now - attempt.sent
+        if age > attempt.aim:
+            self.slow(attempt)
         if not attempt.late and age > OVERDUE[0] + OVERDUE[1] * attempt.work:
             attempt.late = True
             node.late += 1
--- a/hitchtiller/records.py
+++ b/hitchtiller/records.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from hitchtiller.interface import ClassSettings, Member, Request
+from hitchtiller.routing.fills import FillLimit
 
 
 def mix(*values: int) -> int:
@@ -45,6 +46,7 @@
     ejections: int = 0
     broke_ms: float = -1.0  # when a connection to it last broke
     refused_ms: float = 0.0  # when it refused a connection: it comes back cold; 0: not since its listed start
+    fills: FillLimit = field(default_factory=FillLimit)  # asked of it as a source
     trial: bool = False  # back on trial: one attempt at a time
 
 
@@ -57,7 +59,9 @@
     stage: str
     sent: float
     work: float
+    aim: float  # time in which its answer earns the full worth
     late: bool = False  # overdue
+    slow: bool = False  # past its aim
 
 
 @dataclass(slots=True, eq=False)
--- /dev/null
+++ b/hitchtiller/routing/__init__.py
@@ -0,0 +1,1 @@
+"""What is decided beside the router, without I/O: limits, budgets, suspicion, recovery."""
--- /dev/null
+++ b/hitchtiller/routing/fills.py
@@ -0,0 +1,43 @@
+"""How large a fill a source is asked for now: fewer and smaller ones while fills miss their aim.
+
+A purge of many groups, or the loss of one of two districts, makes all gateways ask for more fills than
+the rest can give in time. All of them then share the links, and nearly none ends in time: the fleet
+gives a tenth of what it could, for as long as clients come again. No gateway can count the others'
+fills, but each sees its own miss their aim. So each keeps, for each source, the largest fill that it
+always asks for, as a share of the mean sending time of the class that takes longest: a fifth less for
+each fill that missed its aim or was turned away, a tenth more for each that was prompt. A larger fill is
+asked for with the chance limit over size, so that an often-wanted object gets through soon, whatever its
+size; a smaller one always, since a small answer is worth as much as a large one. What is not asked for
+is a look at the cache alone, which serves what it holds.
+
+Bounds. One number for each listed server. The work asked of a source in a second is at most the
+gateway's requests in it times the limit; all gateways shrink alike, since they see the same jam, so over
+3, 40 or 200 of them the source settles where three fills in ten miss their aim. At LEAST of the mean a
+gateway still asks for a fiftieth of its work, which is how it learns that a jam has ended.
+"""
+
+MOST = 3.0  # times the mean; from here on any size goes
+LEAST = 0.02  # of the mean: what keeps asking whether the jam has ended
+SHRINK, GROW = 0.8, 1.1  # at each fill that missed its aim, and at each prompt one
+
+
+class FillLimit:
+    """The limit for one source; `share` is that of the mean sending time."""
+
+    __slots__ = ("share",)
+
+    def __init__(self) -> None:
+        """Start with no limit: most sources never jam."""
+        self.share = MOST
+
+    def admits(self, work_ms: float, mean_ms: float, draw: float) -> bool:
+        """Tell whether a fill that takes `work_ms` to send may be asked for; `draw` is from [0, 1)."""
+        return self.share >= MOST or draw * work_ms < self.share * mean_ms
+
+    def shrink(self) -> None:
+        """Hear of a fill that missed its aim, or was turned away."""
+        self.share = max(LEAST, self.share * SHRINK)
+
+    def grow(self) -> None:
+        """Hear of a fill that was served within its aim."""
+        self.share = min(MOST, self.share * GROW)
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -5,13 +5,15 @@
 the cache can do; the worth wants the cache used while it warms, not starved until it is warm.
 """
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
+from random import Random
 
 import pytest
 from conftest import FLEET, Bench, gets
 
 from hitchtiller import interface as api
 from hitchtiller.decide import ORIGIN
+from hitchtiller.routing.fills import FillLimit
 
 RAMP_MS, SHARE, MULTIPLE, WEIGHT, WORK_MS = 16_000.0, 0.17, 3.0, 8.0, 400.0
 
@@ -96,3 +98,52 @@
         sent = [get for id in range(40) for get in gets(bench.ask(id, key=id, size_kb=1.0))]
         fills += sum(get.source == "o" for get in sent)
     assert gateways // 2 <= fills <= max(ORIGIN, gateways)
+
+
+@dataclass
+class Fill:
+    """A fill under way at a source that all gateways share."""
+
+    limit: FillLimit
+    sent: float
+    work: float
+    left: float
+    slow: bool = False
+
+
+def prompt_share(gateways: int, limited: bool, seconds: int = 20) -> float:
+    """Let gateways ask a source for twice what it gives; give the share of it that ends in prompt fills.
+
+    The link carries 16 transfers for up to 40 gateways and grows with them from there on. A fill keeps
+    its part of the link until its client gives up (2 s); it is prompt within 270 ms and twice its own
+    time. Time goes in steps of 20 ms; sizes are drawn, the seed is fixed. The first five seconds, in
+    which limits are learned, are left out.
+    """
+    rng, step, mean = Random(5), 20.0, 270.0
+    link = 16.0 * max(1.0, gateways / 40)
+    limits = [FillLimit() for _ in range(gateways)]
+    out, prompt, now, arriving = list[Fill](), 0.0, 0.0, 2.0 * link * step / mean
+    while now < seconds * 1000.0:
+        for _ in range(int(arriving) + (rng.random() < arriving % 1.0)):
+            limit, work = rng.choice(limits), rng.expovariate(1.0 / mean)
+            if not limited or limit.admits(work, mean, rng.random()):
+                out.append(Fill(limit, now, work, work))
+        now += step
+        pace = step * min(1.0, link / max(1, len(out)))
+        for fill in out:
+            fill.left -= pace
+            if not fill.slow and now - fill.sent > 270.0 + 2.0 * fill.work:
+                fill.slow = True
+                fill.limit.shrink()
+            elif fill.left <= 0.0 and not fill.slow:
+                fill.limit.grow()
+                prompt += fill.work * (now > 5000.0)
+        out = [fill for fill in out if fill.left > 0.0 and now - fill.sent < 2000.0]
+    return prompt / (seconds * 1000.0 - 5000.0) / link
+
+
+@pytest.mark.parametrize("gateways", [3, 40, 200])
+def test_a_source_asked_for_twice_what_it_gives_still_ends_fills_in_time(gateways: int) -> None:
+    """Without a limit hundreds of fills share the link and a hundredth of it ends within its aim."""
+    assert prompt_share(gateways, limited=False) < 0.05
+    assert prompt_share(gateways, limited=True) > 0.2
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -9,6 +9,7 @@
 
 from hitchtiller import interface as api
 from hitchtiller.decide import ORIGIN, TABLE
+from hitchtiller.routing.fills import MOST
 
 POLICY = Path(__file__).parent.parent / "hitchtiller" / "decide.py"
 
@@ -169,13 +170,51 @@
     assert isinstance(final, api.Refuse)
 
 
-def test_a_blamed_source_gets_fewer_fills_and_held_copies_are_still_asked_for() -> None:
+def test_a_jammed_source_gets_fewer_and_smaller_fills_and_held_copies_are_still_asked_for() -> None:
     bench = Bench(siblings="none")
+    mean = max(bench.router.mean.values())
+
+    def fills(share: float) -> int:
+        count = 0
+        for id in range(200):
+            for node in bench.router.parents:
+                node.fills.share = 0.1
+            (get,) = gets(bench.ask(id, key=id, size_kb=share * mean))
+            bench.end(get, "done", closed=True)
+            count += get.source != get.server
+        return count
+
+    assert 0 < fills(0.5) < 100  # fewer, not none: they tell when the jam ends
+    assert fills(0.05) == 200
+
+
+def test_a_look_that_found_nothing_asks_a_jammed_source_for_no_fill(bench: Bench) -> None:
+    spread(bench, 9)
+    bench.router.slice.clear()
+    (look,) = gets(bench.ask(1, key=9, size_kb=400.0))
     for node in bench.router.parents:
-        node.blame = 0.9  # all alike: nobody is left out
-    asked = [gets(bench.ask(id, key=id, size_kb=1.0))[0] for id in range(200)]
-    held = sum(get.source == get.server for get in asked)
-    assert 100 < held < 200  # fewer fills, not none: they tell when the jam ends
+        node.fills.share = 1e-9
+    (final,) = bench.end(look, "enoent")
+    assert isinstance(final, api.Refuse)
+
+
+def test_fills_that_miss_their_aim_or_are_turned_away_shrink_the_limit_and_prompt_ones_restore_it() -> None:
+    bench = Bench(siblings="none")
+    (get,) = gets(bench.ask(1, key=1))
+    fills = bench.router.nodes[get.source].fills
+    bench.end(get, "busy")
+    first = fills.share
+    assert first < MOST
+    (late,) = gets(bench.ask(2, key=1))
+    bench.give(api.TimerDue("sweep"), 400.0)
+    for at in (450.0, 500.0):  # past the aim of 300 ms: once for each, however often it is looked at
+        bench.give(api.TimerDue("sweep"), at)
+    assert fills.share == pytest.approx(0.8 * first)
+    bench.end(late, "done", closed=True)
+    assert fills.share == pytest.approx(0.8 * first)
+    for id in range(3, 30):
+        bench.end(gets(bench.ask(id, key=1, size_kb=1.0))[0], "done", closed=True)
+    assert fills.share == MOST
 
 
 def test_a_failed_fill_is_tried_from_another_source_before_another_cache(bench: Bench) -> None:
@@ -252,7 +291,7 @@
     (fill,) = gets(bench.ask(1, key=5))
     assert fill.renew and fill.age_ms == 5000.0
     for node in bench.router.parents:
-        node.blame = 5.0  # jammed: no fill is asked for
+        node.fills.share = 1e-9  # jammed: no fill is asked for
     (only,) = gets(bench.ask(2, key=6))
     assert only.source == only.server and only.age_ms == 7000.0 and not only.renew
     bench.give(api.Purged(6, 0, 500.0))
