`hitchtiller worth` sums where a fleet's worth goes from its gateways' own log lines

A file or line that can't be read is named with what was wanted, and the rest is summed (exit code 1; 2 where there is nothing).

One line each 5 s, no lists.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -28,7 +28,7 @@
 from hitchtiller.signals import Signals
 
 MEMORY_TIER, TIER_LEAST_MB = "--memory-tier", 64.0  # limits under which there is no room for copies
-REPORT_MS = 10_000.0
+REPORT_MS, FIGURES_MS = 10_000.0, 5_000.0
 TIDY_MS = 1_000.0
 OWN_MB = 26.0  # what the program holds in service without its buffers
 OWN_TWO_MB = 18.0  # and early on, as two versions do that live side by side
@@ -54,6 +54,14 @@
         sched.lag_ms = 0.0
 
 
+def figures(sched: Scheduler, engine: Engine, back: Upstreams) -> None:
+    """Write what `hitchtiller worth` sums over all gateways: one line each 5 s, and one at the start."""
+    while True:
+        engine.stats.links = back.opened
+        logger.info("{}", engine.stats.figures())
+        sched.sleep(FIGURES_MS)
+
+
 def room(memory_mb: float, two: bool) -> int:
     """Give the bytes that buffers may hold in all: what the program itself leaves, and half for copies."""
     own, least = (2.0 * OWN_TWO_MB, 1.0) if two else (OWN_MB, 2.0)
@@ -134,6 +142,7 @@
     if peers:
         sched.spawn(peers.run, engine)
     sched.spawn(report, sched, engine, front)
+    sched.spawn(figures, sched, engine, back)
     reload = Reload(config, os.environ, bus.move)
     Signals(sched, {signal.SIGTERM: upgrade.stop, signal.SIGINT: upgrade.stop, signal.SIGHUP: reload})
     sched.spawn(tidy, sched)
--- a/hitchtiller/back/upstreams.py
+++ b/hitchtiller/back/upstreams.py
@@ -81,7 +81,7 @@
         """Hold at most `most` connections of `streams` attempts each."""
         self.sched, self.times, self.streams, self.most = sched, times, streams, most
         self.pools: dict[str, Pool] = {}
-        self.count = 0  # connections
+        self.count = self.opened = 0  # connections that there are, and all that ever were
         self.numbers = count(1)
         sched.spawn(self._sweep)
 
@@ -101,6 +101,7 @@
         link = Link(self.sched, host.member.server, host.address, self.times, self.streams, pool.ended)
         pool.links.append(link)
         self.count += 1
+        self.opened += 1
         return link
 
     def send(self, attempt: Attempt) -> None:
--- a/hitchtiller/cli/main.py
+++ b/hitchtiller/cli/main.py
@@ -60,6 +60,20 @@
     run("demo", "demo", requests=requests, seed=seed, as_json=as_json)
 
 
+@main.command()
+@click.argument("logs", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--row-s", default=5.0, show_default=True, type=click.FloatRange(1.0), help="Length of a row.")
+@JSON
+def worth(logs: tuple[Path, ...], row_s: float, as_json: bool) -> None:
+    """Sum what became of requests over all gateways, from their logs: files, or folders of *.log.
+
+    A gateway that was killed or restarted counts from 0 again; what it had counted before stays in the sum.
+    Exit code 1 if a file or a line could not be read (they are named, the rest is summed), 2 if there is
+    nothing to sum.
+    """
+    run("worth", "worth", logs=logs, row_s=row_s, as_json=as_json)
+
+
 @main.group()
 def store() -> None:
     """Look at, check and measure a folder of kept copies. The gateway that owns it must not be running."""
--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -111,6 +111,7 @@
         self.open[exchange.number] = exchange
         self.ids.add(ask.id.lower())
         self.stats.taken += 1
+        self._worth("asked", exchange)
         exchange.taken_ms = self.clock.now_ms()
         delay = ask.deadline_ms - exchange.taken_ms
         exchange.guard = self.clock.later(delay, partial(self.expire, exchange)).cancel
@@ -133,6 +134,7 @@
         """Nobody waits for it any more: stop its attempts."""
         if exchange.close():
             self.stats.left += 1
+            self._worth("left", exchange)
             self.abandon(exchange)
 
     def expire(self, exchange: Exchange) -> None:
@@ -171,12 +173,24 @@
         self._drop(exchange)
         if exchange.finish(answer):
             self.stats.end(exchange.ask.class_name, answer.kind)
+            self._worth(answer.kind, exchange)
             if self.ended_one:
                 self.ended_one(exchange, answer)
             if self.copies:
                 self.copies.over(exchange, answer)
         exchange.settle()
 
+    def _worth(self, what: str, exchange: Exchange) -> None:
+        """Count a request's worth under what became of it; `served` is told apart by its class's aim."""
+        settings, ask = self.router.s, exchange.ask
+        if (cls := settings.classes.get(ask.class_name)) is None:
+            return
+        if what == SERVED:
+            work = 1000.0 * ask.size_kb / settings.flow_kb_per_s if settings.flow_kb_per_s else 0.0
+            prompt = self.clock.now_ms() - exchange.taken_ms <= cls.aim_ms + cls.aim_stretch * work
+            what = "in_time" if prompt else "late"
+        self.stats.worth[what] += cls.worth
+
     # News
 
     def news(self, event: Event) -> None:
@@ -291,6 +305,7 @@
     def ended(self, attempt: Attempt, ending: Ending) -> None:
         """Take an attempt's end: the first served one is the answer."""
         exchange = attempt.exchange
+        self.stats.tried(ending.status)
         if ending.status == "done" and self.copies:
             ending = self.copies.arrived(attempt, ending)
         if ending.status == "done" and not exchange.over:
--- a/hitchtiller/ops/stats.py
+++ b/hitchtiller/ops/stats.py
@@ -4,6 +4,7 @@
 
 PREFIX = "svc"
 ENDS = ("served", "refused", "failed")
+WORTH = ("asked", "in_time", "late", "refused", "failed", "left")
 
 
 class Stats:
@@ -13,6 +14,9 @@
         """Start at 0."""
         self.ends = {name: dict.fromkeys(ENDS, 0) for name in classes}
         self.taken = self.left = self.attempts = 0
+        self.worth = dict.fromkeys(WORTH, 0.0)  # of requests, by what became of them
+        self.links = 0  # connections opened to servers: each has cost a handshake
+        self.tries: dict[str, int] = {}  # ends of attempts, in the decisions' words
         self.levels: dict[str, Callable[[], int]] = {}  # read when asked: steps may be missed
         self.counts: dict[str, Callable[[], int]] = {}  # counters that other parts hold
 
@@ -21,6 +25,16 @@
         if ends := self.ends.get(class_name):
             ends[kind] += 1
 
+    def tried(self, status: str) -> None:
+        """Count an attempt's end."""
+        self.tries[status] = self.tries.get(status, 0) + 1
+
+    def figures(self) -> str:
+        """Write the line that `hitchtiller worth` sums over a fleet: all since the start of the process."""
+        worth = [f"worth.{name}={round(value, 3)}" for name, value in self.worth.items()]
+        tries = [f"end.{name}={count}" for name, count in sorted(self.tries.items())]
+        return " ".join(["figures", *worth, *tries, f"links={self.links}"])
+
     def total(self) -> dict[str, int]:
         """Sum the ends over the classes, for the log's regular line."""
         return {kind: sum(ends[kind] for ends in self.ends.values()) for kind in ENDS}
