Tests of discovery that is late, cut, repeated, out of order, or names an address anew

Shown: an event told twice or with an old number undoes no drain; one cut anywhere is not applied in part; a fault in one does not end the subscription; an address under a new id gets connections of its own; a repeated whole list forgets nothing and starts nothing cold; an empty list is answered with refusals at once.

--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,92 @@
+"""Discovery that answers late, in part, twice, out of order, or with an address under a new id."""
+
+import unittest
+
+from conftest import FLEET, Bench, gets
+
+from hitchtiller import interface as api
+from hitchtiller.back.upstreams import Upstreams
+from hitchtiller.bus import BusLink
+from hitchtiller.codec.bus import HEAD, RECORD, BusReader
+from hitchtiller.news import Event, Listed, Topology
+from hitchtiller.sched import Scheduler
+
+ZONES, KINDS = ("hub", "z1", "z2"), ("box", "parent", "origin")
+
+
+def record(number: int, state: int, port: int = 8080, started: int = 0) -> bytes:
+    return RECORD.pack(number, bytes([127, 0, 0, 1]), port, state, 1, 0, 0, 8000, started)
+
+
+def frame(number: int, kind: int, *records: bytes) -> bytes:
+    body = HEAD.pack(number, kind) + b"".join(records)
+    return len(body).to_bytes(4, "big") + body
+
+
+class Discovery(unittest.TestCase):
+    def setUp(self) -> None:
+        self.heard: list[Event] = []
+        self.bus = BusLink(Scheduler(), self.heard.append, ("127.0.0.1", 1), (ZONES, KINDS))
+        self.reader = BusReader(ZONES, KINDS)
+
+    def feed(self, data: bytes) -> None:
+        for event in self.reader.feed(data):
+            self.bus.apply(event)
+
+    def states(self) -> list[str]:
+        return [host.member.state for news in self.heard if isinstance(news, Topology) for host in news.hosts]
+
+    def test_an_event_told_twice_or_with_an_old_number_changes_nothing(self) -> None:
+        """A drain must not be undone by the news from before it, told late."""
+        drain, older = frame(5, 2, record(7, 1)), frame(4, 2, record(7, 0))
+        self.feed(drain + drain + older + frame(5, 1, record(7, 0)))
+        self.assertEqual((self.states(), self.bus.last), (["DRAINING"], 5))
+
+    def test_an_event_cut_anywhere_is_not_applied_in_part(self) -> None:
+        """Half a whole list would make all that it lacks look gone."""
+        whole = frame(6, 1, record(7, 0), record(8, 0), record(9, 0))
+        for cut in range(len(whole)):
+            reader = BusReader(ZONES, KINDS)
+            self.assertEqual(list(reader.feed(whole[:cut])), [])
+            ((number, news),) = reader.feed(whole[cut:])
+            assert isinstance(news, Topology)
+            self.assertEqual((number, len(news.hosts)), (6, 3))
+
+    def test_a_fault_in_one_event_does_not_end_the_subscription(self) -> None:
+        def fail(_: Event) -> None:
+            raise ValueError("no such zone")
+
+        self.bus.tell = fail
+        self.feed(frame(5, 2, record(7, 1)))
+        self.bus.tell = self.heard.append
+        self.feed(frame(6, 2, record(7, 1)))
+        self.assertEqual((self.states(), self.bus.last), (["DRAINING"], 6))
+
+    def test_an_address_under_a_new_id_is_another_process(self) -> None:
+        """What was out on the old one must not be taken for the new one's, nor its connections be used."""
+        back, address = Upstreams(Scheduler(), (400.0, 1000.0), 4, 8), ("127.0.0.1", 1)
+        back.follow(Topology((Listed(api.Member("old", "z1", "box", "SERVING"), address),), True))()
+        pool = back.pools["old"]
+        link = back.open(pool)
+        back.follow(Topology((Listed(api.Member("new", "z1", "box", "SERVING", 9.0), address),), True))()
+        self.assertEqual((list(back.pools), link.stream.code, pool.closed), (["new"], "gone", True))
+        self.assertEqual(back.pools["new"].links, [])
+
+    def test_a_repeated_whole_list_forgets_nothing_and_starts_nothing_cold(self) -> None:
+        bench = Bench(siblings="none")
+        (get,) = gets(bench.ask(1, key=5))
+        node = bench.router.nodes[get.server]
+        node.blame = 0.3
+        for _ in range(3):
+            bench.give(api.Members(FLEET, whole=True))
+        self.assertIs(bench.router.nodes[get.server], node)
+        self.assertEqual((node.blame, node.flights), (0.3, 1))
+        self.assertEqual(bench.router.cold_rate(node), float("inf"))
+
+    def test_a_list_that_names_nothing_is_answered_at_once_and_the_next_one_is_taken(self) -> None:
+        bench = Bench(siblings="none")
+        bench.give(api.Members((), whole=True))
+        (final,) = bench.ask(1, key=5)
+        self.assertIsInstance(final, api.Refuse)
+        bench.give(api.Members(FLEET, whole=True))
+        self.assertTrue(gets(bench.ask(2, key=5)))
