A limited source's fills are looked up first, so that hits no longer raise its limit

One district fails a quarter of what it is asked and is then replaced; from 5 s to the end 230 fills are out at the other, 30 to 40 an interval of 0.5 s time out, and fills come back at 8 to 12 times their sending time, hits at once.

Checked: not a bad station cache (all 24 show the same two humps), not client retries (1.00 a request), not head office (9 to 16 of 36 used). The lines at fault: `judge` raised the limit at every prompt answer of an attempt that named a source, and two answers in three are hits that never touched it; the limit settled where nearly every true fill missed its aim.

Change: while a source's limit is on, a request that may be filled is sent as a plain look (stage `check`) and filled after the miss; only true fills move the limit. The chance of a larger fill is drawn once a request, so the look and the fill agree.

--- a/hitchtiller/decide.py
+++ b/hitchtiller/decide.py
@@ -235,7 +235,8 @@
         work = 1000.0 * ask.size_kb / (self.s.flow_kb_per_s or math.inf) or self.mean[cls.name]
         self.mean[cls.name] += LEARN * (min(work, cls.deadline_ms) - self.mean[cls.name])
         hashed = mix(ask.key, ask.part)
-        held = Held(ask, cls, work, (ask.key, ask.part), hashed, hashed % self.s.group_size)
+        home = hashed % self.s.group_size
+        held = Held(ask, cls, work, (ask.key, ask.part), hashed, home, self.rng.random())
         self.held[ask.id] = held
         self.tokens = min(RETRY_BANK, self.tokens + RETRY_EARN)
         self.start(held, self.count(held))
@@ -254,13 +255,14 @@
             self.send(held, node, node, "look")
         else:
             source = self.source(held)
-            if not held.cls.write and (not source or not self.fillable(held, source)):
-                return self.send(held, node, node, "only")  # exception: hits stay prompt while fills jam
-            self.send(held, node, source, "fill")
+            if held.cls.write or (source and source.fills.free):
+                return self.send(held, node, source, "fill")
+            stage = "check" if source and self.fillable(held, source) else "only"  # exception: hits stay
+            self.send(held, node, node, stage)  # prompt while fills jam, and only fills are counted as such
 
     def fillable(self, held: Held, source: Node) -> bool:
         """Tell whether a source may be asked for a fill of this size now."""
-        return source.fills.admits(held.work, max(self.mean.values()), self.rng.random())
+        return source.fills.admits(held.work, max(self.mean.values()), held.draw)
 
     def send(self, held: Held, node: Node | None, source: Node | None, stage: str) -> None:
         """Run the guards, then send; what may not be sent is given up at once."""
@@ -332,6 +334,9 @@
         if status == "enoent" and attempt.stage == "look":
             held.looked = attempt.node
             self.ask_home(held, attempt.node.m.server)
+        elif status == "enoent" and attempt.stage == "check":
+            held.looked = attempt.node
+            self.fill(held, None)
         elif status == "enoent" and attempt.stage == "sibling":
             self.tell(held.home, api.PeerNote("lacks", *held.item, attempt.source.m.server))
             self.fill(held, None)
@@ -357,9 +362,7 @@
             self.send(held, node, sibling, "sibling")
         else:
             source = self.source(held)
-            if source and not self.fillable(held, source):
-                return self.give_up(held)
-            self.send(held, node, source, "fill")
+            self.send(held, node, source if source and self.fillable(held, source) else None, "fill")
 
     def on_left(self, event: api.Left) -> None:
         """Forget a request, also where it waits for a home router."""
--- a/hitchtiller/records.py
+++ b/hitchtiller/records.py
@@ -52,7 +52,7 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """One send: `stage` is look, sibling, fill or only (no fill after it)."""
+    """One send: `stage` is look, check (a jam), sibling, fill or only (no fill after it)."""
 
     node: Node
     source: Node
@@ -74,6 +74,7 @@
     item: tuple[int, int]  # object and part
     hash: int
     home: int  # router that keeps its directory entry
+    draw: float = 0.0  # from [0, 1): its chance in a jam, the same for all its attempts
     shots: int = 0
     out: bool = False
     keep: int = 1
