A request that waited for another's answer is not served a copy too old for itself

Checked: a hit in memory is judged at the moment of serving (`plan.judge` in `take`, again in `_late`), and `instead` too; what is kept is judged when it comes. Only an answer handed to those that waited for the leader was not: `Joins.served` looks at purges known when the waiter came, and at no age. A leader's copy may be 20 s old when it asks, and is then too old for one that asked 0.1 s later. Not the fill limits: the line is as old as the tier, and longer flights under a jam only make it more likely.

Change: `_then` judges the copy before it serves a waiter (age, purges told since, proof); else the waiter goes its own way, with its own bound. The test fails without it.

--- a/hitchtiller/store/tier.py
+++ b/hitchtiller/store/tier.py
@@ -320,7 +320,9 @@
         exchange = self.engine.open.get(number)
         if exchange is None or exchange.over:
             return
-        if then is Then.SERVE and copy and self._serve(exchange, copy, "joined", unchanged):
+        # guards the waiter's own age bound: the answer may have been young enough only when the leader asked
+        good = copy is not None and self.plan.judge(copy.part, self.engine.clock.now_ms()) is State.FRESH
+        if then is Then.SERVE and copy and good and self._serve(exchange, copy, "joined", unchanged):
             return
         if then is Then.SHARE:
             self.engine.finish(
--- a/tests/store/test_store_tier.py
+++ b/tests/store/test_store_tier.py
@@ -106,6 +106,19 @@
     assert len(tiers.sent()) == 1
 
 
+def test_one_that_waited_is_not_served_a_copy_that_was_only_young_enough_for_the_leader(tiers: Tiers) -> None:
+    """It was lost on split+mass: 20 s of age held when the leader asked, and not when the waiter did."""
+    tiers.ask(name="brief")
+    tiers.wait(100.0)
+    tiers.ask(name="brief")
+    (leader,) = tiers.sent()
+    tiers.serve(leader, since=START - 950.0)
+    assert tiers.answers[1].kind == SERVED and 2 not in tiers.answers
+    (own,) = tiers.sent()  # the waiter's own attempt, with its own bound
+    tiers.serve(own)
+    assert tiers.answers[2].kind == SERVED
+
+
 def test_requests_under_way_share_one_attempt(tiers: Tiers) -> None:
     for have in ("", "", "t1"):
         tiers.ask(have=have)
