A cache that has become slow is known by the stretch of its own hits

Ruled out: the sources (waits of 50 and 130 ms throughout) and the other caches (1.2 to 1.6). Change: routing/pace.py keeps each cache's stretch from hits of known size; it joins the crowd above 1.5 and the choice among caches, and is taken off before sizes are learned.

--- a/hitchtiller/decide.py
+++ b/hitchtiller/decide.py
@@ -198,7 +198,7 @@
             return None, False
         node = min(able[:width], key=lambda n: n.load_ms / n.link)
         if not self.in_time(held, node):  # exception: the rest of the zone before a refusal
-            node = min(able, key=lambda n: n.load_ms / n.link)
+            node = min(able, key=lambda n: (n.load_ms + held.work) * n.pace.now(self.now) / n.link)
         moved = width > 1 or node is not order[0] or self.now < node.joined_ms + MOVED_MS
         return node, moved and not held.cls.write and self.s.siblings != "none"
 
@@ -208,7 +208,7 @@
         mine = node.asked if stuck else node.asked - node.late
         zone = (self.here - 1) * asked  # the others': as mine on average
         crowd = zone / self.weight + (1 + mine) / node.link
-        return self.suits(held, crowd)
+        return self.suits(held, crowd if held.cls.write else max(crowd, node.pace.crowd(self.now)))
 
     def suits(self, held: Held, crowd: float) -> bool:
         """Tell whether sending, stretched by a crowd, stays within the aim."""
@@ -317,7 +317,7 @@
         if event.closed:
             del self.held[event.id]
             if event.status == "done":
-                self.sizes.learn(held.ask, event, not held.cls.write)
+                self.sizes.learn(held.ask, event, not held.cls.write, attempt.node.pace.now(self.now))
                 self.served(held, attempt.node)
         elif self.now >= held.ask.deadline_ms - 1.0:
             self.give_up(held)
@@ -383,6 +383,8 @@
             self.slow(attempt)
         elif event.status == "done" and source is not node:
             source.fills.grow()
+        if event.status == "done" and event.note == 1 and held and held.known and event.whole:
+            node.pace.hear(self.now, event.latency_ms / held.work)
         if event.status in ("done", "enoent"):
             self.clear(node)
             unknown = self.s.notes == "none" and event.status == "done"
--- a/hitchtiller/records.py
+++ b/hitchtiller/records.py
@@ -6,6 +6,7 @@
 
 from hitchtiller.interface import ClassSettings, Member, Request
 from hitchtiller.routing.fills import FillLimit
+from hitchtiller.routing.pace import Pace
 
 
 def mix(*values: int) -> int:
@@ -49,6 +50,7 @@
     broke_ms: float = -1.0  # when a connection to it last broke
     refused_ms: float = 0.0  # when it refused a connection: it comes back cold; 0: not since its listed start
     fills: FillLimit = field(default_factory=FillLimit)  # asked of it as a source
+    pace: Pace = field(default_factory=Pace)
     trial: bool = False  # back on trial: one attempt at a time
 
 
--- a/hitchtiller/routing/sizes.py
+++ b/hitchtiller/routing/sizes.py
@@ -42,11 +42,11 @@
         work = self.seen.get((ask.class_name, ask.key), 0.0)
         return work or self.mean[ask.class_name], work > 0.0
 
-    def learn(self, ask: Request, end: Outcome, kept: bool) -> None:
+    def learn(self, ask: Request, end: Outcome, kept: bool, stretch: float = 1.0) -> None:
         """Take a served answer's time; `kept` where its class's objects are asked for again."""
         if ask.size_kb > 0.0 or not end.whole or end.note not in FILLED:
             return
-        work = max(LEAST_MS, end.latency_ms - end.waited_ms)
+        work = max(LEAST_MS, (end.latency_ms - end.waited_ms) / stretch)
         self._mean(ask.class_name, work)
         if kept:
             name = (ask.class_name, ask.key)
--- /dev/null
+++ b/tests/routing/test_routing_pace.py
@@ -0,0 +1,73 @@
+"""A server's stretch, and what the decisions make of it."""
+
+from conftest import BASE, Bench, gets
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hitchtiller import interface as api
+from hitchtiller.routing.pace import FORGET_MS, MOST, Pace
+from hitchtiller.routing.sizes import Sizes
+
+
+def test_it_follows_what_is_heard_and_forgets() -> None:
+    pace = Pace()
+    assert pace.now(0.0) == 1.0
+    for n in range(12):
+        pace.hear(float(n), 9.0)
+    assert 8.0 < pace.now(12.0) <= 9.0
+    assert pace.now(12.0 + 5 * FORGET_MS) < 1.1
+
+
+@given(st.lists(st.tuples(st.floats(0.0, 1e7), st.floats(-9.0, 1e6)), max_size=50))
+def test_it_is_bounded(heard: list[tuple[float, float]]) -> None:
+    pace, now = Pace(), 0.0
+    for after, stretch in heard:
+        now += after
+        pace.hear(now, stretch)
+    assert 1.0 <= pace.now(now) <= MOST
+
+
+def hits(bench: Bench, server: str, took: float, note: int = 1) -> None:
+    """Have ten requests of 100 ms served there, as hits or as something else."""
+    for n in range(10):
+        for id in range(100 * n + 100, 100 * n + 200):  # until one goes there
+            (get,) = gets(bench.ask(id, key=id, size_kb=100.0, life_ms=3000.0))
+            ended = get.server == server
+            bench.now += took if ended else 0.0
+            bench.give(api.Outcome(id, 0, get.server, "done", took if ended else 100.0, True, note=note))
+            if ended:
+                break
+
+
+def served_by(bench: Bench, server: str) -> int:
+    """Count how many of 60 requests go there."""
+    found = 0
+    for id in range(5000, 5060):
+        for get in gets(bench.ask(id, key=id, size_kb=100.0, life_ms=3000.0)):
+            found += get.server == server
+            bench.give(api.Outcome(id, 0, get.server, "done", 100.0, True, note=0))
+    return found
+
+
+def test_a_cache_that_became_slow_is_passed_by() -> None:
+    """Two caches at 9 to 19 times their usual time went on with 11 to 18 requests at once, for 25 s."""
+    bench = Bench(notes="all")
+    before = served_by(bench, "c0")
+    hits(bench, "c0", 1500.0)
+    assert before > 5
+    assert served_by(bench, "c0") == 0
+    bench.now += 5 * FORGET_MS
+    assert served_by(bench, "c0") > 5
+
+
+def test_a_slow_fill_says_nothing_of_the_cache() -> None:
+    bench = Bench(notes="all")
+    hits(bench, "c0", 1500.0, note=2)
+    assert bench.router.nodes["c0"].pace.now(bench.now) == 1.0
+
+
+def test_a_slow_cache_does_not_make_objects_large() -> None:
+    """Learned at a slow cache, an object was refused at the quick ones too."""
+    sizes, ask = Sizes(BASE), api.Request(1, "big", 1, 5000.0)
+    sizes.learn(ask, api.Outcome(1, 0, "c0", "done", 2700.0, True, note=1), True, stretch=9.0)
+    assert sizes.of(ask) == (300.0, True)
