--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -156,9 +156,16 @@
             fields = resp.read_fields(items[2]) if len(items) > 2 else {}
             word = items[1].decode("ascii", "replace")
             job.answered(word, fields, items[3] if len(items) > 3 else b"")
-        except resp.BadResp:
-            self.open[items[0]] = job  # ends with the connection
-            raise
+        except resp.BadResp as error:
+            # its frame was whole: the others' answers can be told apart and may come, but nothing new goes
+            self.junk = str(error)
+            if not self.open:
+                self.open[items[0]] = job
+                raise
+            job.broken("econnreset")
+            if not self.spoiled:
+                self.spoiled = True
+                self._hand_back()
         if self.spoiled and not self.open:
             raise Closed("spoiled")
 
--- a/hitchtiller/routing/capacity.py
+++ b/hitchtiller/routing/capacity.py
@@ -32,12 +32,16 @@
         flow = settings.flow_kb_per_s
         links = zip(settings.zones, settings.link_kb_per_s, strict=False)
         self.feeds = {zone: link / flow for zone, link in links if flow and link > 0.0}
-        self.told = settings.weights != "none"
+        self.told, self.live = settings.weights != "none", settings.weights == "live"
+        self.most: dict[str, float] = {}  # live weights shrink with the load: the largest is nearest to the size
         self.kinds = (settings.parent_kind, settings.origin_kind)
 
     def of(self, members: Iterable[Member]) -> dict[str, tuple[float, float]]:
         """Give each server's transfers at once: the middle of what is likely, and the end that is safe."""
         members = list(members)
+        if self.live:
+            self.most = {m.server: max(m.weight, self.most.get(m.server, 0.0)) for m in members}
+            return {name: (weight, weight) for name, weight in self.most.items()}
         if self.told:
             return {m.server: (m.weight, m.weight) for m in members}
         caches: dict[str, int] = {}
--- a/standins/world.py
+++ b/standins/world.py
@@ -2,9 +2,9 @@
 
 `draw` makes a deployment from a seed: what it tells (weights, sizes, notes, links) and what it allows
 (direct, siblings, joins, peers) varies freely, also in ways that no deployment has yet. `World` plays caches
-with a link each, parents, an origin, a list that comes late, purges, drains and cold starts against one Router a
-gateway, and feeds the judges in `rules.py`. It models what the decisions can notice, no more: a transfer's
-stretch is settled when it begins, parents and the origin are never short.
+with a link each, parents, an origin, a list that comes late, purges, drains and cold starts against one
+Router a gateway, and feeds the judges in `rules.py`. It models what the decisions can notice, no more: a
+transfer's stretch is settled when it begins, parents and the origin are never short.
 """
 
 import heapq
--- a/tests/routing/test_routing_capacity.py
+++ b/tests/routing/test_routing_capacity.py
@@ -42,6 +42,15 @@
     assert told["c0"] == (8.0, 8.0) and told["p0"] == (30.0, 30.0)
 
 
+def test_live_weights_that_shrink_with_the_load_are_no_smaller_caches() -> None:
+    """They are size over 1 + load: believed, a busy cache was half of itself, and its load counted twice."""
+    capacity = Capacity(replace(BASE, weights="live"))
+    capacity.of(FLEET)
+    busy = [replace(m, weight=m.weight / 3.0) for m in FLEET]
+    assert capacity.of(busy)["c0"] == (8.0, 8.0)
+    assert "c0" not in capacity.of([m for m in busy if m.server != "c0"])
+
+
 @pytest.mark.parametrize("link", [0.0, 1e-3, 1e9])
 def test_it_is_bounded_whatever_is_told(link: float) -> None:
     settings, members = zone(4, link)
--- a/tests/test_back.py
+++ b/tests/test_back.py
@@ -8,9 +8,10 @@
 from hitchtiller.back import link as link_module
 from hitchtiller.back.link import Link
 from hitchtiller.back.upstreams import MOST_MOVES, Upstreams
+from hitchtiller.codec.resp import BadResp
 from hitchtiller.interface import Member
 from hitchtiller.news import Listed, Topology
-from hitchtiller.sched import Scheduler
+from hitchtiller.sched import Closed, Scheduler
 
 
 class Job:
@@ -88,6 +89,20 @@
         link.check(quiet + 500.0)
         self.assertEqual(link.stream.code, "stuck")
 
+    def test_an_answer_that_no_cache_gives_ends_itself_and_the_others_still_come(self) -> None:
+        """Each ended all that was open on its connection, 7 at once."""
+        bad, good, unwritten = Job(b"1"), Job(b"2"), Job(b"3")
+        bad.answered = mock.Mock(side_effect=BadResp("answer"))  # type: ignore[method-assign]
+        link = self.link(bad, good)
+        link.submit(unwritten)
+        link._answer([b"1", b"DONE", b"-", b""])
+        self.assertEqual((bad.ends, good.ends), (["econnreset"], []))
+        self.assertFalse(link.room(b"4"))
+        self.assertFalse(link.pending, "what was not written is handed on")
+        with self.assertRaises(Closed):
+            link._answer([b"2", b"DONE", b"-", b""])
+        self.assertEqual(good.ends, ["DONE"])
+
     def test_silence_is_no_bad_sign_while_nothing_is_overdue(self) -> None:
         link = self.link(Job())
         link.check(link.heard_ms + 900.0)
