--- a/hitchtiller/routing/capacity.py
+++ b/hitchtiller/routing/capacity.py
@@ -33,7 +33,7 @@
         links = zip(settings.zones, settings.link_kb_per_s, strict=False)
         self.feeds = {zone: link / flow for zone, link in links if flow and link > 0.0}
         self.told, self.live = settings.weights != "none", settings.weights == "live"
-        self.most: dict[str, float] = {}  # live weights shrink with the load: the largest is nearest to the size
+        self.most: dict[str, float] = {}  # live weights shrink with load: the largest is the size
         self.kinds = (settings.parent_kind, settings.origin_kind)
 
     def of(self, members: Iterable[Member]) -> dict[str, tuple[float, float]]:
