Membership's deciding parts: views, detection, words, homes, shares, standing

Tests: laws of the merge, all 625 histories of four claims, altered words, and fleets of 3 to 100 over a simulated network with loss, repeats, cuts both and one way, stops, kills, restarts.

--- /dev/null
+++ b/hitchtiller/membership/detector.py
@@ -0,0 +1,267 @@
+"""Who is there: probes, suspicion, and word of it, as a state machine fed with datagrams and the time.
+
+After SWIM and Lifeguard (ideas only): each period a gateway pings one other, in a shuffled round that meets
+each once; without an answer in a share of the period it asks HELPERS others to ping for it; without any by
+the period's end it suspects, and tells the suspect so each period until that is settled. A suspect is dead
+after a time that grows with the logarithm of the fleet's size and shrinks with independent witnesses; it
+refutes by a newer incarnation until then, and after. Any datagram is a sign of life: who was heard within
+the last period is not pinged in it, so busy gateways hardly probe.
+
+A gateway doubts itself first. Late ticks (a stopped process, a crowded core) void the probes under way; each
+missed answer, and each refutation of its own, lengthen its periods and suspicions up to DOUBT_MOST steps,
+each answer takes one back. So one that was stopped for 20 s accuses nobody when it wakes.
+
+Bounds, whatever the fleet's size: a gateway and period sends one ping, one more to each suspect that it
+accused itself, at most HELPERS requests, NEWS words while there is news, answers what it is asked, and one
+page every PAGE_EVERY periods; calm, 2 to 3 datagrams a second at 200 gateways and a period of 1 s.
+"""
+
+import math
+from dataclasses import dataclass
+from random import Random
+
+from hitchtiller.membership.gossip import Gossip
+from hitchtiller.membership.view import UNHEARD, Change, Claim, State, View
+from hitchtiller.membership.words import ITEMS, Kind, Word, pack, unpack
+
+HELPERS, PAGE_EVERY, START_PAGES = 3, 10, 3
+DIRECT = 0.4  # of a period, for the ping's own answer
+SUSPECT, SUSPECT_LEAST = 4.0, 2.0  # periods, times log10 of the size (1 at least); with all witnesses
+WITNESSES, NEWS = 3, 2  # from which on a suspicion lasts no longer than the least
+DOUBT_MOST, LATE = 8, 1.5  # steps of doubt; periods between ticks from which on I was late myself
+
+Datagrams = list[tuple[int, bytes]]
+
+
+@dataclass(slots=True)
+class Probe:
+    """A ping under way, for myself or for another."""
+
+    target: int
+    number: int
+    begun_ms: float
+    asked: bool = False
+    origin: int = -1  # who asked me to ping, and under which number; -1: myself
+    origin_number: int = 0
+
+
+@dataclass(slots=True)
+class Suspicion:
+    """A suspect's time."""
+
+    begun_ms: float
+    witnesses: set[int]
+
+
+class Detector:
+    """One gateway's part in membership; calls give the datagrams to send."""
+
+    def __init__(
+        self, me: int, size: int, incarnation: int, fleet: int, period_ms: float, rng: Random, now_ms: float
+    ) -> None:
+        """Start; `incarnation` is the start's Unix milliseconds."""
+        self.me, self.fleet, self.period_ms, self.rng = me, fleet, period_ms, rng
+        self.view = View(me, size, incarnation)
+        self.gossip = Gossip(size)
+        self.view.ears.append(self._changed)
+        self.heard: dict[int, float] = {}
+        self.probes: dict[int, Probe] = {}
+        self.suspicions: dict[int, Suspicion] = {}
+        self.round: list[int] = []
+        self.numbers, self.periods, self.doubt, self.pages = 0, 0, 0, START_PAGES
+        self.next_ms = self.ticked_ms = now_ms
+        self.sent = self.dropped = 0
+        self.gossip.add(me)
+
+    # What the caller feeds
+
+    def tick(self, now_ms: float) -> Datagrams:
+        """Look at what is due; to be called several times a period."""
+        late = now_ms - self.ticked_ms > LATE * self.period_ms
+        self.ticked_ms = now_ms
+        if late:  # guards against accusing others for a time in which I did not run myself
+            self.probes.clear()
+            for suspicion in self.suspicions.values():
+                suspicion.begun_ms = now_ms
+            self._doubt(2)
+            self.pages = START_PAGES
+            self.next_ms = now_ms
+        out = self._watch(now_ms)
+        self._expire(now_ms)
+        if now_ms >= self.next_ms and not self.view.superseded:
+            self.next_ms = now_ms + self.period_ms * (1.0 + 0.25 * self.doubt)
+            out += self._period(now_ms)
+        return out
+
+    def receive(self, sender: int, data: bytes, now_ms: float) -> Datagrams:
+        """Take a datagram from a listed peer; what can't be read is dropped and counted."""
+        word = unpack(data, self.fleet)
+        if word is None or word.sender != sender or sender not in self.view.claims:
+            self.dropped += 1
+            return []
+        self.hear(sender, now_ms)
+        for number, claim, by in word.items:
+            if self.view.merge(number, claim, by, now_ms):
+                self._follow(number, by, now_ms)
+            elif claim.state is State.SUSPECT and claim == self.view.claims.get(number):
+                self._witness(number, by)
+        match word.kind:
+            case Kind.PING:
+                return self._send(sender, Kind.ACK, word.number)
+            case Kind.ACK:
+                return self._acked(word, sender)
+            case Kind.ASK if word.target in self.view.claims and word.target != self.me:
+                return self._ping(word.target, now_ms, sender, word.number)
+            case Kind.PAGE:
+                return self._page(sender, word.target)
+        return []
+
+    def hear(self, number: int, now_ms: float) -> None:
+        """Take any sign of life, such as a note on an object."""
+        self.heard[number] = now_ms
+
+    def leave(self, now_ms: float) -> Datagrams:
+        """Tell a few that I leave by plan."""
+        self.view.leave(now_ms)
+        return [d for peer in self._some(HELPERS, ()) for d in self._send(peer, Kind.TELL, 0)]
+
+    def forget(self, number: int) -> bool:
+        """Forget what is claimed of a number; it is probed again like one never heard of."""
+        self.suspicions.pop(number, None)
+        return self.view.forget(number)
+
+    # Periods
+
+    def _period(self, now_ms: float) -> Datagrams:
+        self.periods += 1
+        out: Datagrams = []
+        if self.pages or self.periods % PAGE_EVERY == 0:
+            self.pages = max(0, self.pages - 1)
+            for peer in self._some(1, ()):
+                out += self._send(peer, Kind.PAGE, 0, self.rng.randrange(len(self.view.claims)))
+        target = self._next(now_ms)
+        for number, suspicion in self.suspicions.items():  # so that it may refute
+            if self.me in suspicion.witnesses:
+                out += self._send(number, Kind.PING, 0)
+        if self.gossip.told:
+            for peer in self._some(NEWS, ()):
+                out += self._send(peer, Kind.TELL, 0)
+        return out + self._ping(target, now_ms) if target is not None else out
+
+    def _next(self, now_ms: float) -> int | None:
+        for _ in range(2 * len(self.view.claims)):
+            if not self.round:
+                # the dead are tried too, seldom: a cut that heals is noticed by nobody else
+                self.round = [n for n in self.view.in_service() if n != self.me]
+                gone = self.view.states(State.DEAD)
+                self.round += self.rng.sample(gone, min(len(gone), 1 + len(self.round) // 8))
+                self.rng.shuffle(self.round)
+                if not self.round:
+                    return None
+            number = self.round.pop()
+            if number in self.view.claims and now_ms - self.heard.get(number, -math.inf) > self.period_ms:
+                return number
+        return None
+
+    def _ping(self, target: int, now_ms: float, origin: int = -1, origin_number: int = 0) -> Datagrams:
+        self.numbers += 1
+        self.probes[self.numbers] = Probe(target, self.numbers, now_ms, origin >= 0, origin, origin_number)
+        return self._send(target, Kind.PING, self.numbers)
+
+    def _acked(self, word: Word, sender: int) -> Datagrams:
+        probe = self.probes.get(word.number)
+        if probe is None or (probe.target != sender and probe.origin >= 0):
+            return []
+        del self.probes[word.number]
+        if probe.origin >= 0:
+            return self._send(probe.origin, Kind.ACK, probe.origin_number)
+        self.doubt = max(0, self.doubt - 1)
+        return []
+
+    def _watch(self, now_ms: float) -> Datagrams:
+        out: Datagrams = []
+        for probe in list(self.probes.values()):
+            age, wait = now_ms - probe.begun_ms, self.period_ms * (1.0 + 0.25 * self.doubt)
+            if self.heard.get(probe.target, -math.inf) >= probe.begun_ms and probe.origin < 0:
+                del self.probes[probe.number]
+            elif not probe.asked and age > DIRECT * wait:
+                probe.asked = True
+                for helper in self._some(HELPERS, (probe.target,)):
+                    out += self._send(helper, Kind.ASK, probe.number, probe.target)
+            elif age > wait:
+                del self.probes[probe.number]
+                if probe.origin < 0:
+                    self._missed(probe.target, now_ms)
+        return out
+
+    def _missed(self, target: int, now_ms: float) -> None:
+        claim = self.view.claims.get(target)
+        if claim is None or claim.state > State.SUSPECT:
+            return
+        if claim.state is State.SUSPECT:
+            return self._witness(target, self.me)
+        self._doubt(1)
+        if self.view.merge(target, Claim(claim.incarnation, State.SUSPECT), self.me, now_ms):
+            self._follow(target, self.me, now_ms)
+
+    def _expire(self, now_ms: float) -> None:
+        for number, suspicion in list(self.suspicions.items()):
+            claim = self.view.claims.get(number)
+            if claim is None or claim.state is not State.SUSPECT:
+                del self.suspicions[number]
+            elif self.heard.get(number, -math.inf) > suspicion.begun_ms:
+                suspicion.begun_ms = self.heard[number]  # it spoke to me since: its refutation is on its way
+            elif now_ms - suspicion.begun_ms >= self.suspect_ms(len(suspicion.witnesses)):
+                del self.suspicions[number]
+                self.view.merge(number, Claim(claim.incarnation, State.DEAD), self.me, now_ms)
+
+    def suspect_ms(self, witnesses: int) -> float:
+        """Give how long a suspect has to refute, with so many that suspect it."""
+        grown = max(1.0, math.log10(len(self.view.claims)))
+        most, least = SUSPECT * grown, SUSPECT_LEAST * grown
+        share = math.log(min(witnesses, WITNESSES)) / math.log(WITNESSES) if witnesses > 1 else 0.0
+        return self.period_ms * (most - (most - least) * share) * (1.0 + 0.25 * self.doubt)
+
+    # Word
+
+    def _follow(self, number: int, source: int, now_ms: float) -> None:
+        if number == self.me:
+            self._doubt(1)  # I was taken for gone: maybe it is I who is late
+        elif self.view.claims[number].state is State.SUSPECT:
+            self.suspicions[number] = Suspicion(now_ms, {source})
+
+    def _witness(self, number: int, by: int) -> None:
+        """Count one who suspects too, and pass on the first few of them."""
+        suspicion = self.suspicions.get(number)
+        if suspicion and by not in suspicion.witnesses:
+            suspicion.witnesses.add(by)
+            if len(suspicion.witnesses) <= WITNESSES:
+                self.view.said[number] = by
+                self.gossip.add(number)
+
+    def _changed(self, change: Change) -> None:
+        self.gossip.add(change.number)
+
+    def _doubt(self, steps: int) -> None:
+        self.doubt = min(DOUBT_MOST, self.doubt + steps)
+
+    def _some(self, count: int, but: tuple[int, ...]) -> list[int]:
+        others = [n for n in self.view.states(State.ALIVE) if n != self.me and n not in but]
+        return self.rng.sample(others, min(count, len(others)))
+
+    def _page(self, peer: int, start: int) -> Datagrams:
+        size = len(self.view.claims)
+        numbers = sorted(self.view.claims, key=lambda n: (n - start) % size)
+        items = self.view.items(numbers)[:ITEMS]
+        return self._pack(peer, Word(Kind.TELL, self.me, 0, 0, items))
+
+    def _send(self, peer: int, kind: Kind, number: int, target: int = 0) -> Datagrams:
+        # a peer that I hold for gone is told so first: it refutes, or knows that it is superseded
+        claim = self.view.claims.get(peer, UNHEARD)
+        first = peer if claim.state is not State.ALIVE else None
+        items = self.view.items(self.gossip.take(ITEMS, first))
+        return self._pack(peer, Word(kind, self.me, number, target, items))
+
+    def _pack(self, peer: int, word: Word) -> Datagrams:
+        self.sent += 1
+        return [(peer, pack(word, self.fleet))]
--- /dev/null
+++ b/hitchtiller/membership/words.py
@@ -0,0 +1,81 @@
+"""The datagrams between gateways that speak of membership: at most 256 bytes, checked before believed.
+
+    head   = mark:1 version:1 fleet:4 check:4 kind:1 number:4 target:2 sender:2
+    word   = head count:1 items          item = number:2 state:1 incarnation:6 by:2, 11 bytes
+
+All numbers are unsigned and big-endian. `mark` is 0xA7, which no note of an older version begins with (their
+first byte is a kind below 4), so that older neighbours drop these and are not harmed. `fleet` is a hash of
+what all gateways of one fleet have in common; words of another fleet are dropped. `check` is the CRC-32 of
+all other bytes. `by` is who first said so, so that one witness repeated by forty is not forty. A reader drops
+a later version's words whole: a later version must speak this one to be heard.
+"""
+
+import struct
+import zlib
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from hitchtiller.membership.view import Claim, State
+
+MARK, VERSION, MOST = 0xA7, 1, 256
+HEAD = struct.Struct(">BBIIBIHHB")
+ITEM = struct.Struct(">HBHIH")  # the incarnation's 48 bits as 16 and 32
+ITEMS = (MOST - HEAD.size) // ITEM.size
+Item = tuple[int, Claim, int]  # number, what is claimed, who first said so
+
+
+class Kind(IntEnum):
+    """What a word asks or answers."""
+
+    PING = 0
+    ACK = 1
+    ASK = 2  # ping `target` for me
+    PAGE = 3  # tell me what you hold from number `target` on
+    TELL = 4  # claims, unasked or as a page
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """One datagram."""
+
+    kind: Kind
+    sender: int
+    number: int  # of the probe that this belongs to
+    target: int = 0
+    items: list[Item] = field(default_factory=list)
+
+
+def pack(word: Word, fleet: int) -> bytes:
+    """Write a word; at most ITEMS claims go with it."""
+    items = word.items[:ITEMS]
+    tail = b"".join(
+        ITEM.pack(number, claim.state, claim.incarnation >> 32, claim.incarnation & 0xFFFFFFFF, by)
+        for number, claim, by in items
+    )
+    fields = (word.kind, word.number & 0xFFFFFFFF, word.target, word.sender, len(items))
+    bare = HEAD.pack(MARK, VERSION, fleet & 0xFFFFFFFF, 0, *fields) + tail
+    return HEAD.pack(MARK, VERSION, fleet & 0xFFFFFFFF, zlib.crc32(bare), *fields) + tail
+
+
+def unpack(data: bytes, fleet: int) -> Word | None:
+    """Read a word; None for what is cut, altered, of another fleet, version or kind."""
+    if not HEAD.size <= len(data) <= MOST:
+        return None
+    mark, version, its, check, kind, number, target, sender, count = HEAD.unpack_from(data)
+    if (mark, version, its) != (MARK, VERSION, fleet & 0xFFFFFFFF):
+        return None
+    if len(data) != HEAD.size + count * ITEM.size or kind >= len(Kind):
+        return None
+    if zlib.crc32(data[:6] + bytes(4) + data[10:]) != check:
+        return None
+    items = []
+    for about, state, high, low, by in ITEM.iter_unpack(data[HEAD.size :]):
+        if state >= len(State):
+            return None
+        items.append((about, Claim(high << 32 | low, State(state)), by))
+    return Word(Kind(kind), sender, number, target, items)
+
+
+def is_word(data: bytes) -> bool:
+    """Tell whether a datagram is meant as a word, and not as a note on objects."""
+    return data[:1] == bytes((MARK,))
--- /dev/null
+++ b/tests/membership/test_membership_fleet.py
@@ -0,0 +1,117 @@
+"""Whole fleets of detectors over a simulated network, in virtual time; seeds are fixed."""
+
+import pytest
+
+from hitchtiller.membership.view import State
+from standins.gossipnet import Net
+
+SETTLE_MS = 8_000.0
+
+
+def death_known_ms(net: Net, number: int, patience_ms: float = 40_000.0) -> float:
+    begun = net.now
+    net.kill(number)
+    while net.now < begun + patience_ms and net.believe(number, State.DEAD) < len(net.nodes):
+        net.run(net.now + net.period_ms / 2)
+    return net.now - begun
+
+
+@pytest.mark.parametrize(("size", "loss"), [(3, 0.0), (5, 0.05), (5, 0.3), (40, 0.0), (40, 0.3)])
+def test_a_death_is_known_to_all_and_no_life_is_called_dead(size: int, loss: float) -> None:
+    net = Net(size, seed=size, loss=loss)
+    net.run(SETTLE_MS)
+    assert death_known_ms(net, 1) < 14_000.0
+    net.run(net.now + 20_000.0)
+    assert net.false_deaths == 0
+
+
+def test_the_cost_for_each_gateway_does_not_grow_with_the_fleet() -> None:
+    costs = []
+    for size in (5, 40, 100):
+        net = Net(size, seed=3)
+        net.run(20_000.0)
+        before, begun = sum(net.sent), net.now
+        net.run(net.now + 20_000.0)
+        costs.append((sum(net.sent) - before) / size / (net.now - begun) * 1000.0)
+    assert max(costs) < 4.0 and max(costs) < 1.6 * min(costs), costs
+
+
+def test_half_killed_at_once_is_known_to_the_rest() -> None:
+    net = Net(20, seed=4)
+    net.run(SETTLE_MS)
+    net.kill(*range(0, 20, 2))
+    net.run(net.now + 25_000.0)
+    assert all(net.believe(n, State.DEAD) == 10 for n in range(0, 20, 2))
+    assert net.false_deaths == 0 and net.agree()
+
+
+def test_both_sides_of_a_cut_meet_again() -> None:
+    net = Net(10, seed=5)
+    net.run(SETTLE_MS)
+    net.cut = lambda a, b: (a < 4) != (b < 4)
+    net.run(net.now + 25_000.0)
+    assert net.nodes[0].view.states(State.DEAD) == list(range(4, 10))
+    net.cut = lambda a, b: False
+    net.run(net.now + 40_000.0)
+    assert net.agree() and all(not n.view.states(State.DEAD) for n in net.nodes.values())
+
+
+def test_a_one_way_cut_is_survived_by_helpers() -> None:
+    """1 hears 0, 0 does not hear 1: others answer for it."""
+    net = Net(6, seed=6)
+    net.run(SETTLE_MS)
+    net.cut = lambda a, b: (a, b) == (1, 0)
+    net.run(net.now + 30_000.0)
+    assert net.false_deaths == 0
+
+
+def test_a_stopped_process_that_wakes_accuses_nobody() -> None:
+    net = Net(8, seed=7)
+    net.run(SETTLE_MS)
+    net.stop(3)
+    net.run(net.now + 20_000.0)
+    assert net.believe(3, State.DEAD) == 7
+    before = net.false_deaths
+    net.go_on(3)
+    net.run(net.now + 20_000.0)
+    assert net.false_deaths == before and net.agree()
+    assert net.believe(3, State.ALIVE) == 7
+
+
+def test_a_rolling_restart_ends_in_one_view() -> None:
+    net = Net(10, seed=8)
+    net.run(SETTLE_MS)
+    for number in range(10):
+        net.kill(number)
+        net.run(net.now + 500.0)
+        net.start(number)
+        net.run(net.now + 1_500.0)
+    net.run(net.now + 20_000.0)
+    assert net.agree() and len(net.nodes[0].view.states(State.ALIVE)) == 10
+
+
+def test_repeats_and_disorder_change_nothing() -> None:
+    net = Net(8, seed=9, repeat=0.5, delay_ms=(1.0, 1_000.0))
+    net.run(60_000.0)
+    assert net.false_deaths == 0 and net.agree()
+
+
+def test_a_planned_leave_is_no_death() -> None:
+    net = Net(6, seed=10)
+    net.run(SETTLE_MS)
+    net.post(2, net.nodes[2].leave(net.now))
+    net.kill(2)
+    net.run(net.now + 15_000.0)
+    assert net.believe(2, State.LEFT) == 5 and net.believe(2, State.DEAD) == 0
+
+
+def test_a_flapping_member_ends_as_what_it_is() -> None:
+    net = Net(6, seed=11)
+    net.run(SETTLE_MS)
+    for _ in range(6):
+        net.kill(1)
+        net.run(net.now + 1_000.0)
+        net.start(1)
+        net.run(net.now + 1_000.0)
+    net.run(net.now + 20_000.0)
+    assert net.believe(1, State.ALIVE) == 5 and net.agree()
