--- a/deploy/gateway.example.hcl
+++ b/deploy/gateway.example.hcl
@@ -28,3 +28,8 @@
     compact_busy_mb_per_s = 5
   }
 }
+
+membership { # needs peers and peer_listen in the configuration
+  period_ms = 1000 # of probes between gateways
+  fleet     = ""   # a name that all gateways of one fleet share
+}
--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -104,6 +104,8 @@
     engine: Engine
     front: Front
     bus: BusLink
+    calls: Calls
+    peers: Peers | None
 
 
 def serve(config: Config, extend: Callable[[Gateway], Callable[[], None]] | None = None) -> None:
@@ -123,7 +125,8 @@
     bus = BusLink(sched, holdouts.news, config.bus, (config.zones, config.kinds))
     front = Front(sched, engine, config.settings, clients, room(config.memory_mb, two=False))
 
-    finish = extend(Gateway(config, sched, engine, front, bus)) if extend else None
+    calls = Calls(front, holdouts, engine.stats)
+    finish = extend(Gateway(config, sched, engine, front, bus, calls, peers)) if extend else None
     for event in config.known:
         bus.apply(event)
 
@@ -136,7 +139,7 @@
     front.barred = upgrade.unready
     host, port = front.listen(config.listen, config.listen_fd)
     if config.control:
-        at = Control(sched, Calls(front, holdouts, engine.stats)).listen(config.control)
+        at = Control(sched, calls).listen(config.control)
         logger.info("control on {}:{}", *at)
     sched.spawn(bus.run)
     if peers:
--- a/hitchtiller/cli/serve.py
+++ b/hitchtiller/cli/serve.py
@@ -12,7 +12,7 @@
 from hitchtiller.cli.logs import json_sink
 from hitchtiller.codec.bus import read_dial
 from hitchtiller.config import ConfigError, read_config
-from hitchtiller.operator.model import MB, File, Repo, Store
+from hitchtiller.operator.model import MB, File, Membership, Repo, Store
 from hitchtiller.operator.read import BadFile, read_file
 from hitchtiller.ops.stats import Stats
 
@@ -96,6 +96,22 @@
     return extend
 
 
+def with_membership(settings: Membership) -> Callable[[Gateway], Callable[[], None]]:
+    """Join membership to a gateway."""
+    from hitchtiller.ops.members import Members
+
+    def extend(gateway: Gateway) -> Callable[[], None]:
+        assert gateway.peers, "checked before the start"
+        args = (gateway.sched, gateway.engine, gateway.peers, settings.fleet, settings.period_ms)
+        members = Members(*args)
+        gateway.calls.plain["members"] = members.listed
+        gateway.calls.named["forget-member"] = members.forget
+        gateway.sched.spawn(members.run)
+        return members.leave
+
+    return extend
+
+
 def publish(stats: Stats, front: "RepoFront", fetcher: "Fetcher") -> None:
     """Put the second front's figures where operators read them."""
     way, budget, service = fetcher.give_way, fetcher.budget, front.service
@@ -122,6 +138,9 @@
     finish = with_store(settings.store)(gateway) if settings.store else lambda: None
     if settings.repo:
         with_repositories(settings.repo)(gateway)
+    if settings.membership:
+        left = with_membership(settings.membership)(gateway)
+        return lambda: (left(), finish())[1]
     return finish
 
 
@@ -141,6 +160,8 @@
                 ]
                 told = f"class_name {repository.class_name!r} of repository {name!r} is none that may be kept"
                 raise ConfigError(f"{file}: {told}; there are " + ", ".join(names))
+        if settings.membership and not (config.peer_listen and config.settings.peers):
+            raise ConfigError(f"{file}: membership needs peers and peer_listen in the configuration")
         if unknown:
             raise ConfigError(f"{file}: share for {sorted(unknown)[0]!r}, which is no class; there are "
                               + ", ".join(config.settings.classes))  # fmt: skip
--- a/hitchtiller/decide.py
+++ b/hitchtiller/decide.py
@@ -58,6 +58,7 @@
         self.slice: dict[tuple[int, int], tuple[int, dict[str, float]]] = {}  # my part of the directory
         self.told: dict[tuple[int, int], tuple[str, float]] = {}
         self.waiting: dict[tuple[int, int], list[int]] = {}
+        self.home_of: Callable[[int], int] = lambda hashed: hashed % settings.group_size  # or by membership
         self.deaf: dict[int, float] = {}  # home routers that did not answer, until when
         self.purges: dict[tuple[str, int], float] = {}
         self.orders: dict[int, tuple[list[Node], list[Node]]] = {}  # of caches and parents, by hash
@@ -240,8 +241,8 @@
         cls = self.s.classes[ask.class_name]
         work, known = self.sizes.of(ask)
         hashed = mix(ask.key, ask.part)
-        home = hashed % self.s.group_size
-        held = Held(ask, cls, work, known, (ask.key, ask.part), hashed, home, self.rng.random())
+        item, home = (ask.key, ask.part), self.home_of(hashed)
+        held = Held(ask, cls, work, known, item, hashed, home, self.rng.random())
         self.held[ask.id] = held
         self.tokens = min(RETRY_BANK, self.tokens + RETRY_EARN)
         self.start(held, self.count(held))
--- a/hitchtiller/membership/detector.py
+++ b/hitchtiller/membership/detector.py
@@ -1,10 +1,11 @@
 """Who is there: probes, suspicion, and word of it, as a state machine fed with datagrams and the time.
 
 After SWIM and Lifeguard (ideas only): each period a gateway pings one other, in a shuffled round that meets
-each once; without an answer in a share of the period it asks HELPERS others to ping for it; without any by
-the period's end it suspects, and tells the suspect so each period until that is settled. A suspect is dead
-after a time that grows with the logarithm of the fleet's size and shrinks with independent witnesses; it
-refutes by a newer incarnation until then, and after. Any datagram is a sign of life: who was heard within
+each once; without an answer in a share of the period it pings again and asks HELPERS others to ping for it,
+in ROUNDS rounds (at 30% loss one probe in forty then fails for nothing, with one round one in five); without
+any by the period's end it suspects, and tells the suspect so each period until that is settled. A suspect is
+dead after a time that grows with the logarithm of the fleet's size and shrinks with independent witnesses;
+it refutes by a newer incarnation until then, and after. Any datagram is a sign of life: who was heard within
 the last period is not pinged in it, so busy gateways hardly probe.
 
 A gateway doubts itself first. Late ticks (a stopped process, a crowded core) void the probes under way; each
@@ -12,8 +13,9 @@
 each answer takes one back. So one that was stopped for 20 s accuses nobody when it wakes.
 
 Bounds, whatever the fleet's size: a gateway and period sends one ping, one more to each suspect that it
-accused itself, at most HELPERS requests, NEWS words while there is news, answers what it is asked, and one
-page every PAGE_EVERY periods; calm, 2 to 3 datagrams a second at 200 gateways and a period of 1 s.
+accused itself, for an unanswered ping at most ROUNDS times one ping and HELPERS requests, NEWS words while
+there is news, answers what it is asked, and one page every PAGE_EVERY periods; 4 to 6 datagrams a second
+at a period of 1 s, 10 with 30% of them lost.
 """
 
 import math
@@ -25,7 +27,7 @@
 from hitchtiller.membership.words import ITEMS, Kind, Word, pack, unpack
 
 HELPERS, PAGE_EVERY, START_PAGES = 3, 10, 3
-DIRECT = 0.4  # of a period, for the ping's own answer
+DIRECT, ROUNDS = 0.3, 2  # of a period, for an answer; rounds of asking again, itself and by helpers
 SUSPECT, SUSPECT_LEAST = 4.0, 2.0  # periods, times log10 of the size (1 at least); with all witnesses
 WITNESSES, NEWS = 3, 2  # from which on a suspicion lasts no longer than the least
 DOUBT_MOST, LATE = 8, 1.5  # steps of doubt; periods between ticks from which on I was late myself
@@ -40,7 +42,7 @@
     target: int
     number: int
     begun_ms: float
-    asked: bool = False
+    asked: int = 0  # rounds
     origin: int = -1  # who asked me to ping, and under which number; -1: myself
     origin_number: int = 0
 
@@ -165,7 +167,9 @@
 
     def _ping(self, target: int, now_ms: float, origin: int = -1, origin_number: int = 0) -> Datagrams:
         self.numbers += 1
-        self.probes[self.numbers] = Probe(target, self.numbers, now_ms, origin >= 0, origin, origin_number)
+        self.probes[self.numbers] = Probe(
+            target, self.numbers, now_ms, ROUNDS if origin >= 0 else 0, origin, origin_number
+        )
         return self._send(target, Kind.PING, self.numbers)
 
     def _acked(self, word: Word, sender: int) -> Datagrams:
@@ -184,8 +188,9 @@
             age, wait = now_ms - probe.begun_ms, self.period_ms * (1.0 + 0.25 * self.doubt)
             if self.heard.get(probe.target, -math.inf) >= probe.begun_ms and probe.origin < 0:
                 del self.probes[probe.number]
-            elif not probe.asked and age > DIRECT * wait:
-                probe.asked = True
+            elif probe.asked < ROUNDS and age > DIRECT * wait * (probe.asked + 1):
+                probe.asked += 1
+                out += self._send(probe.target, Kind.PING, probe.number)
                 for helper in self._some(HELPERS, (probe.target,)):
                     out += self._send(helper, Kind.ASK, probe.number, probe.target)
             elif age > wait:
--- a/hitchtiller/operator/model.py
+++ b/hitchtiller/operator/model.py
@@ -79,9 +79,17 @@
     repository: dict[str, Repository] = {}
 
 
+class Membership(Struct, frozen=True, forbid_unknown_fields=True):
+    """Which gateways are there, told between them on the peer socket."""
+
+    period_ms: Annotated[float, Meta(ge=50, le=60_000, description="a time from 50 to 60000")] = 1000
+    fleet: Annotated[str, Meta(description="a name that all gateways of one fleet share")] = ""
+
+
 class File(Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file; what is not in it is off."""
 
     log: Log = Log()
     store: Store | None = None
     repo: Repo | None = None
+    membership: Membership | None = None
--- a/hitchtiller/ops/calls.py
+++ b/hitchtiller/ops/calls.py
@@ -34,7 +34,7 @@
             return self.plain[name]()
         if name in self.named:
             if len(words) != 1:
-                raise CallError(f"{name} takes one station cache's id")
+                raise CallError(f"{name} takes one word: whom it is about")
             return self.named[name](words[0])
         raise CallError(f"unknown call; there are {' '.join([*self.plain, *self.named])}")
 
--- /dev/null
+++ b/hitchtiller/ops/members.py
@@ -0,0 +1,118 @@
+"""Carries membership on the peer socket: ticks, datagrams, log lines, figures, calls of operators.
+
+What is decided is in `hitchtiller/membership/`; this gives it time, draws and the wire. Switched on by the
+`membership` block of the operators' file only; the platform's gateway imports nothing of it.
+"""
+
+import zlib
+from collections import Counter
+from random import Random
+
+from hitchtiller.engine import Engine
+from hitchtiller.log import logger
+from hitchtiller.membership.detector import Datagrams, Detector
+from hitchtiller.membership.homes import Homes
+from hitchtiller.membership.partition import Partition, Standing
+from hitchtiller.membership.view import Change, State
+from hitchtiller.membership.words import is_word
+from hitchtiller.ops.control import CallError
+from hitchtiller.peers import Peers
+from hitchtiller.sched import Scheduler, now_ms
+
+TICKS = 4  # a period
+HEARD_PERIODS = 5.0  # without a datagram from anybody: nobody is heard
+
+
+class Members:
+    """One gateway's membership at work."""
+
+    def __init__(self, sched: Scheduler, engine: Engine, peers: Peers, fleet: str, period_ms: float) -> None:
+        """Join it to the peer socket and to the homes of directory entries."""
+        self.sched, self.engine, self.peers, self.period_ms = sched, engine, peers, period_ms
+        settings, begun = engine.router.s, now_ms()
+        self.me, size = settings.my_number, settings.group_size
+        mark = zlib.crc32(f"{fleet} {size} {' '.join(settings.zones)}".encode())
+        self.detector = Detector(self.me, size, int(begun), mark, period_ms, Random(int(begun)), begun)
+        self.view = self.detector.view
+        self.view.ears.append(self.changed)
+        self.homes, self.partition = Homes(size), Partition()
+        self.changes: Counter[str] = Counter()
+        self.serving = set(range(size))
+        peers.words = self.receive
+        engine.router.home_of = lambda hashed: self.homes.home(hashed, self.serving)
+        levels = {"members_alive": State.ALIVE, "members_suspect": State.SUSPECT, "members_dead": State.DEAD}
+        for name, state in levels.items():
+            engine.stats.levels[name] = lambda state=state: len(self.view.states(state))  # type: ignore[misc]
+        engine.stats.levels["members_standing"] = lambda: int(self.partition.standing)
+        engine.stats.counts["members_words_sent"] = lambda: self.detector.sent
+        engine.stats.counts["members_words_dropped"] = lambda: self.detector.dropped
+
+    def run(self) -> None:
+        """Tick until the program ends."""
+        while True:
+            self.sched.sleep(self.period_ms / TICKS)
+            self.post(self.detector.tick(now_ms()))
+            self.look()
+
+    def receive(self, sender: int, data: bytes) -> bool:
+        """Take a datagram; True if it was a word, and no note on objects."""
+        if not is_word(data):
+            self.detector.hear(sender, now_ms())
+            return False
+        self.post(self.detector.receive(sender, data, now_ms()))
+        return True
+
+    def post(self, out: Datagrams) -> None:
+        """Send datagrams."""
+        for peer, data in out:
+            self.peers.send(peer, data)
+
+    def look(self) -> None:
+        """Name my standing; a change is a line of the log."""
+        now, old = now_ms(), self.partition.standing
+        others = len(self.view.claims) - 1
+        missing = set(self.view.states(State.DEAD)) - {self.me}
+        heard = any(now - at < HEARD_PERIODS * self.period_ms for at in self.detector.heard.values())
+        caches = any(now - node.answered_ms < 5_000.0 for node in self.engine.router.nodes.values())
+        young = self.detector.periods < HEARD_PERIODS
+        new = self.partition.look(
+            now, others, missing, heard or young, caches, bool(self.engine.router.nodes)
+        )
+        if new is not old:
+            logger.info("standing {} was {} missing={}", new.name, old.name, sorted(missing))
+
+    def changed(self, change: Change) -> None:
+        """Log a change with who said so, and follow it where it is preference."""
+        self.changes[change.new.state.name] += 1
+        self.serving = set(self.view.in_service())
+        new, old = change.new, change.old
+        logger.info(
+            "member {} {} incarnation={} was {} said by {}",
+            change.number, new.state.name, new.incarnation, old.state.name, change.source,
+        )  # fmt: skip
+
+    def leave(self) -> None:
+        """Tell a few that I leave by plan."""
+        if not self.view.superseded:
+            self.post(self.detector.leave(now_ms()))
+
+    # Calls
+
+    def listed(self) -> str:
+        """Give a line a member, then one on my standing."""
+        now, lines = now_ms(), ["members"]
+        for number, claim in sorted(self.view.claims.items()):
+            since = self.view.since.get(number)
+            age = f"{(now - since) / 1000.0:.1f}" if since else "-"
+            said = self.view.said.get(number, "-")
+            name = claim.state.name if claim.incarnation else "UNHEARD"
+            lines.append(f"{number}|{name}|{claim.incarnation}|{age}|{said}")
+        return "\n".join([*lines, f"standing|{Standing(self.partition.standing).name}", "."])
+
+    def forget(self, word: str) -> str:
+        """Forget what is claimed of a member."""
+        if not word.isdecimal() or not self.detector.forget(int(word)):
+            most = len(self.view.claims) - 1
+            raise CallError(f"{word[:20]!r} is no other member's number; there are 0 to {most}")
+        self.serving = set(self.view.in_service())
+        return "forgotten"
--- a/hitchtiller/peers.py
+++ b/hitchtiller/peers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+from collections.abc import Callable
 
 from hitchtiller import interface as api
 from hitchtiller.codec.notes import pack, unpack
@@ -24,10 +25,14 @@
         # guards a new version's start beside the old one; the kernel gives datagrams to the later of the two
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(listen)
+        self.words: Callable[[int, bytes], bool] | None = None  # takes what is no note, where switched on
 
     def tell(self, peer: int, note: api.PeerNote) -> None:
         """Send a note; like any datagram it may be lost."""
-        data = pack(note)
+        self.send(peer, pack(note))
+
+    def send(self, peer: int, data: bytes) -> None:
+        """Send a datagram that fits."""
         if 0 <= peer < len(self.peers) and len(data) <= MOST:
             with contextlib.suppress(OSError):
                 self.sock.sendto(data, self.peers[peer])
@@ -41,6 +46,9 @@
                     data, sender = self.sock.recvfrom(MOST + 1)
                 except OSError:
                     break
-                number, note = self.numbers.get(sender), unpack(data)
+                number = self.numbers.get(sender)
+                if self.words and number is not None and self.words(number, data):
+                    continue
+                note = unpack(data)
                 if number is not None and note is not None:
                     engine.give(api.PeerMessage(number, note))
