--- a/tests/routing/test_routing_capacity.py
+++ b/tests/routing/test_routing_capacity.py
@@ -85,3 +85,11 @@
 def test_the_crowd_still_ends_somewhere() -> None:
     """Units of 1 that are believed refuse it: what the estimate guards against."""
     assert [act for acts in calm("rough", 1.0) for act in acts if isinstance(act, api.Refuse)]
+
+
+def test_a_link_that_is_not_full_stretches_nothing() -> None:
+    """With a stretch of 1 in its aim a large object was refused at four fifths of a link."""
+    bench = Bench(classes={"small": replace(BASE.classes["small"], aim_ms=450.0, aim_stretch=1.0)})
+    for n in range(20):  # three caches of eight transfers: 21 keep each below its link
+        acts = bench.ask(n, key=n, size_kb=2000.0)
+        assert [act for act in acts if isinstance(act, api.Get)], n
