Fleets with faults towards servers and bus, clients under way, and judges over all gateways

Cause, seen on reading ops/members.py again: standing took the bus for heard whenever a list was held, and a cache for heard after a refused connection (answered_ms), so DEAF could not be reached. Now a frame of the bus and an answer of a server count, and a gateway that is deaf tells its front so (not ready). standins/relay.py carries TCP for each pair of gateway and server or bus (refuse, reset, silence, half-open, slow); load.py keeps requests and effects coming, watch.py judges drains and cold starts over all gateways together.

--- a/hitchtiller/bus.py
+++ b/hitchtiller/bus.py
@@ -1,5 +1,6 @@
 """Follows the event bus: from the last number it has, again and again."""
 
+import math
 import socket
 from collections.abc import Callable
 
@@ -30,6 +31,7 @@
         self.stream: Stream | None = None
         self.subscribed = self.told_all = False
         self.begun_ms = now_ms()
+        self.heard_ms = -math.inf  # when its last whole frame came
         self.heard: Callable[[], None] | None = None  # called when there is nothing more to tell
 
     def followed(self, whole: bool) -> bool:
@@ -76,7 +78,7 @@
             # guards against a bus that stops in the middle of an event: single bytes are no sign of life
             data = stream.read(max(1.0, whole_ms + SILENT_MS - now_ms()))
             for event in reader.feed(data):
-                whole_ms = now_ms()
+                whole_ms = self.heard_ms = now_ms()
                 self.apply(event)
                 self.told_all = self.told_all or event[1] is None
                 if event[1] is None and self.heard:
--- a/hitchtiller/cli/serve.py
+++ b/hitchtiller/cli/serve.py
@@ -102,8 +102,9 @@
 
     def extend(gateway: Gateway) -> Callable[[], None]:
         assert gateway.peers, "checked before the start"
-        args = (gateway.sched, gateway.engine, gateway.peers, settings.fleet, settings.period_ms)
-        members = Members(*args)
+        joined = (gateway.sched, gateway.engine, gateway.peers, gateway.bus)
+        members = Members(*joined, settings.fleet, settings.period_ms)
+        gateway.front.doubts.append(members.deaf)
         gateway.calls.plain["members"] = members.listed
         gateway.calls.named["forget-member"] = members.forget
         gateway.sched.spawn(members.run)
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -31,6 +31,7 @@
         self.leave = Leave(self)
         self.accepting = True
         self.barred: Callable[[], str] = str  # a further reason not to be ready
+        self.doubts: list[Callable[[], str]] = []  # and more of them, from what is joined to the gateway
         self.listener = socket.socket()
 
     def listen(self, address: tuple[str, int], held: int | None = None) -> tuple[str, int]:
@@ -57,7 +58,9 @@
         """Tell why requests should not come here; nothing if they may."""
         if self.state != SERVING:
             return self.state
-        return self.barred() if self.engine.router.nodes else "no list of station caches yet"
+        if not self.engine.router.nodes:
+            return "no list of station caches yet"
+        return self.barred() or next(filter(None, (doubt() for doubt in self.doubts)), "")
 
     def told(self) -> str:
         """Tell clients the same, but for a gateway whose next version is ready: the gateway as a whole is."""
--- a/hitchtiller/ops/members.py
+++ b/hitchtiller/ops/members.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from random import Random
 
+from hitchtiller.bus import BusLink
 from hitchtiller.engine import Engine
 from hitchtiller.log import logger
 from hitchtiller.membership.detector import Datagrams, Detector
@@ -21,14 +22,19 @@
 
 TICKS = 4  # a period
 HEARD_PERIODS = 5.0  # without a datagram from anybody: nobody is heard
+ANSWERS = ("done", "enoent", "busy", "err")  # ends of attempts that only a server's answer has
+CACHE_MS, BUS_MS = 5_000.0, 3_000.0  # without one, or without a frame of the bus, which comes each second
 
 
 class Members:
     """One gateway's membership at work."""
 
-    def __init__(self, sched: Scheduler, engine: Engine, peers: Peers, fleet: str, period_ms: float) -> None:
+    def __init__(
+        self, sched: Scheduler, engine: Engine, peers: Peers, bus: BusLink, fleet: str, period_ms: float
+    ) -> None:
         """Join it to the peer socket and to the homes of directory entries."""
         self.sched, self.engine, self.peers, self.period_ms = sched, engine, peers, period_ms
+        self.bus, self.answers, self.answered_ms = bus, 0, now_ms()
         settings, begun = engine.router.s, now_ms()
         self.me, size = settings.my_number, settings.group_size
         mark = zlib.crc32(f"{fleet} {size} {' '.join(settings.zones)}".encode())
@@ -73,11 +79,14 @@
         others = len(self.view.claims) - 1
         missing = set(self.view.states(State.DEAD)) - {self.me}
         heard = any(now - at < HEARD_PERIODS * self.period_ms for at in self.detector.heard.values())
-        caches = any(now - node.answered_ms < 5_000.0 for node in self.engine.router.nodes.values())
+        tries = self.engine.stats.tries
+        answers = sum(tries.get(word, 0) for word in ANSWERS)
+        if answers > self.answers:
+            self.answers, self.answered_ms = answers, now
+        caches = now - self.answered_ms < CACHE_MS
         young = self.detector.periods < HEARD_PERIODS
-        new = self.partition.look(
-            now, others, missing, heard or young, caches, bool(self.engine.router.nodes)
-        )
+        bus = now - self.bus.heard_ms < BUS_MS
+        new = self.partition.look(now, others, missing, heard or young, caches, bus)
         if new is not old:
             logger.info("standing {} was {} missing={}", new.name, old.name, sorted(missing))
 
@@ -91,6 +100,15 @@
             change.number, new.state.name, new.incarnation, old.state.name, change.source,
         )  # fmt: skip
 
+    def deaf(self) -> str:
+        """Tell why clients should go elsewhere: nothing at all is heard here; nothing to tell otherwise."""
+        return "neither gateways nor caches nor the bus are heard" if self.standing is Standing.DEAF else ""
+
+    @property
+    def standing(self) -> Standing:
+        """Give my standing."""
+        return self.partition.standing
+
     def leave(self) -> None:
         """Tell a few that I leave by plan."""
         if not self.view.superseded:
--- a/standins/client.py
+++ b/standins/client.py
@@ -39,6 +39,12 @@
         self.tags: dict[tuple[int, int], tuple[str, bytes]] = {}  # what this client keeps itself
         self.writer: asyncio.StreamWriter | None = None
         self.task: asyncio.Task[None] | None = None
+        self.going = False  # the gateway wants no new request here
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether a new request should go elsewhere."""
+        return self.going or self.task is None or self.task.done()
 
     async def connect(self, port: int) -> None:
         """Open the connection."""
@@ -50,6 +56,7 @@
         try:
             while data := await reader.read(262_144):
                 for frame in answers.feed(data):
+                    self.going = self.going or frame.kind == frames.GOING
                     waiting = self.open.pop(frame.stream, None)
                     if frame.kind == frames.ANSWER and waiting and not waiting.done():
                         waiting.set_result(frame)
@@ -129,6 +136,14 @@
                 self.tags[key, part] = (got.fields["ver"], body)
         return got
 
+    async def effect(
+        self, class_name: str, key: int, dedupe: str, wait_ms: float = 2000.0
+    ) -> Answered | None:
+        """Ask for an effect under its key."""
+        got = await self.ask(class_name, key, 0, wait_ms, "", dedupe)
+        self.verdicts.counts["broken off" if got is None else f"effect {got.code}"] += 1
+        return got
+
     def close(self) -> None:
         """End the connection."""
         if self.writer:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,8 +1,9 @@
 """Several gateway processes among stand-ins, with faults between them.
 
-One truth, one set of caches, a district and head office for all; a fabric between the gateways. Processes are
-killed, stopped, let go on, told to end and started again; what they are asked is judged by `Verdicts`, and
-what they believe of one another is read by their operators' calls.
+One truth, one set of caches, a district and head office for all; a fabric between the gateways, a relay
+between each of them and each server, and its bus. Processes are killed, stopped, let go on, told to end,
+upgraded and started again; what clients get is judged by `Verdicts`, what servers are asked by `Watch`, and
+what gateways believe of one another is read by their operators' calls.
 """
 
 import asyncio
@@ -12,14 +13,25 @@
 import signal
 import sys
 import tempfile
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 from standins.client import Terminal, Verdicts
 from standins.fabric import Fabric
 from standins.parties import Bus, Script, Server
+from standins.relay import Relay, Way
 from standins.rig import PORT, REPLAY_MS, ROOT, settings
-from standins.truth import Truth
+from standins.truth import Truth, now_ms
+from standins.watch import Watch
+
+BUS = "bus"
+
+
+def name(place: int) -> str:
+    """Name the server at a place: the caches, then the district, then head office."""
+    return f"s-{place:08x}"
 
 
 class Process:
@@ -31,7 +43,7 @@
         self.lines: list[str] = []
         self.child: asyncio.subprocess.Process | None = None
         self.reader: asyncio.Task[None] | None = None
-        self.ready, self.expected_end = asyncio.Event(), False
+        self.ready, self.serving = asyncio.Event(), False  # `serving`: a front would send clients here
 
     async def read(self) -> None:
         """Keep the log."""
@@ -63,45 +75,104 @@
 class Fleet:
     """`size` gateways; `old` numbers run without membership, as an older version would."""
 
-    def __init__(self, size: int, seed: int, period_ms: float = 200.0, old: tuple[int, ...] = ()) -> None:
-        """Prepare; nothing is started yet."""
+    def __init__(
+        self, size: int, seed: int, period_ms: float = 200.0, old: tuple[int, ...] = (),
+        weight: float = 50.0, flow_kb_per_s: float = 60_000.0,
+    ) -> None:  # fmt: skip
+        """Prepare; nothing is started yet. `weight`, `flow_kb_per_s`: what a cache is told to carry."""
         self.size, self.seed, self.period_ms, self.old = size, seed, period_ms, old
+        self.weight, self.flow = weight, flow_kb_per_s
         self.rng, self.truth, script = random.Random(seed), Truth(), Script()
         self.caches = [Server(self.truth, script, random.Random(seed + n)) for n in range(3)]
         self.parent = Server(self.truth, script, random.Random(seed + 50))
         self.origin = Server(self.truth, Script(), random.Random(seed + 51), origin=True)
+        self.servers = [*self.caches, self.parent, self.origin]
         self.fabric, self.verdicts = Fabric(size, seed), Verdicts()
+        self.wires: dict[tuple[int, str], Relay] = {}  # of a gateway to a server or the bus
+        self.buses: dict[int, Bus] = {}
+        self.setups = {number: self.setup(number) for number in range(size)}
+        self.watch = Watch(self.setups[0], weight)
         self.folder = Path(tempfile.mkdtemp(prefix="fleet-"))
         self.running: dict[int, Process] = {}
+        self.leavers: list[Callable[[Process], None]] = []  # clients, told of a process that will not answer
         self.faults: list[str] = []  # processes that ended by themselves, tracebacks in logs
 
+    def setup(self, number: int) -> dict[str, Any]:
+        """Give a gateway's settings."""
+        setup = settings() | {"my_number": number, "group_size": self.size}
+        setup["limits"] = setup.get("limits", {}) | {"peers": True}
+        setup["family_info"] |= {"instances_by_zone": [0, self.size], "stream_kb_per_s": self.flow}
+        return setup
+
     async def start(self) -> None:
-        """Start servers, fabric and all gateways, and wait until each is ready."""
-        hosts = []
-        for place, server in enumerate([*self.caches, self.parent, self.origin]):
-            await server.start()
-            kind = {3: "parent", 4: "origin"}.get(place, "box")
-            hosts.append(
-                {"host": f"s-{place:08x}", "dial": f"127.0.0.1:{server.port}", "class": kind, "block": 0,
-                 "site": "north" if kind == "box" else "hub", "health": "Ready", "share": 50, "born_ms": 0}
-            )  # fmt: skip
-        self.hosts = hosts
+        """Start servers, fabric, relays and all gateways, and wait until each is ready."""
         self.fabric.start()
+        for place, server in enumerate(self.servers):
+            await server.start()
+            server.ear = partial(self._heard, name(place))
+        for number in range(self.size):
+            for place, server in enumerate(self.servers):
+                await self._relay(number, name(place), server)
+            hosts = [self._host(number, place) for place in range(len(self.servers))]
+            bus = self.buses[number] = Bus(self.truth, hosts, REPLAY_MS)
+            await bus.start()
+            await self._relay(number, BUS, bus)
         await asyncio.gather(*(self.launch(number) for number in range(self.size)))
 
-    async def launch(self, number: int, fleet: str = "") -> Process:
-        """Start a gateway's next life."""
-        bus = Bus(self.truth, self.hosts, REPLAY_MS)
-        await bus.start()
-        setup = settings() | {"my_number": number, "group_size": self.size}
-        setup["limits"] = setup.get("limits", {}) | {"peers": True}
-        setup["family_info"]["instances_by_zone"] = [0, self.size]
-        place = self.fabric.address(number)
+    async def _relay(self, number: int, target: str, server: Server | Bus) -> None:
+        relay = Relay(lambda: ("127.0.0.1", server.port), self.watch.ends, number)
+        self.wires[number, target] = relay
+        await relay.start()
+
+    def _host(self, number: int, place: int) -> dict[str, Any]:
+        kind = {3: "parent", 4: "origin"}.get(place, "box")
+        dial = f"127.0.0.1:{self.wires[number, name(place)].port}"
+        return {"host": name(place), "dial": dial, "class": kind, "block": 0, "health": "Ready", "born_ms": 0,
+                "site": "north" if kind == "box" else "hub", "share": self.weight}  # fmt: skip
+
+    def _heard(self, server: str, peer: tuple[str, int], fields: dict[str, str]) -> None:
+        size = self.truth.size(int(fields["name"], 16), int(fields["piece"])) / 1000.0
+        self.watch.asked(server, peer, fields.get("up", ""), 1000.0 * size / self.flow)
+
+    def tell(self, place: int, among: list[int] | None = None, **news: Any) -> None:
+        """Have the buses tell of a change of a server: `health`, `born_ms`."""
+        setup = self.setups[0]
+        for number in among if among is not None else range(self.size):
+            bus = self.buses[number]
+            host = bus.hosts[place]
+            host |= news
+            bus.change(host, setup["localities"], setup["skus"])
+            if self.wires[number, BUS].way is Way.PASS:
+                self.watch.told(number, host)
+
+    async def restart_cache(self, place: int, among: list[int] | None = None) -> None:
+        """Start a cache anew, cold and empty; the buses of `among` tell of it at once."""
+        self.servers[place].held.clear()
+        now = now_ms()
+        self.watch.cold.start(name(place), self.weight, now)
+        for number in range(self.size):  # its connections end with its process
+            await self.wires[number, name(place)].set(Way.REFUSE)
+            await self.wires[number, name(place)].set(Way.PASS)
+        self.tell(place, among, born_ms=int(now))
+
+    async def wire(self, way: Way, numbers: list[int], targets: list[str] | None = None) -> None:
+        """Have a fault between gateways and some of the servers (or all), or the bus."""
+        for (number, target), relay in self.wires.items():
+            if number in numbers and (targets is None or target in targets):
+                await relay.set(way)
+                if target == BUS and way is Way.PASS:  # what it could not hear counts as told from now on
+                    for host in self.buses[number].hosts:
+                        self.watch.told(number, host)
+
+    async def launch(self, number: int, fleet: str = "", beside: bool = False) -> Process:
+        """Start a gateway's next life, or a new version beside the one that runs."""
+        bus, place = self.buses[number], self.fabric.address(number)
         config: dict[str, Any] = {
             "name": f"n{number}", "listen": "127.0.0.1:0", "control": "127.0.0.1:0",
             "seed": f"{number + 1:x}",
-            "limits": {"sockets": 256, "memory_mb": 512}, "bus": f"127.0.0.1:{bus.port}",
-            "known": bus.begin(), "settings": setup, "peer_listen": f"{place[0]}:{place[1]}",
+            "limits": {"sockets": 256, "memory_mb": 512}, "bus": f"127.0.0.1:{self.wires[number, BUS].port}",
+            "known": bus.known if beside else bus.begin(), "settings": self.setups[number],
+            "peer_listen": f"{place[0]}:{place[1]}",
             "peers": self.fabric.peers(number),
         }  # fmt: skip
         folder = self.folder / f"n{number}"
@@ -114,27 +185,52 @@
             command += ["--file", str(folder / "gateway.hcl")]
         env = {"PATH": os.environ["PATH"], "BALANCER_CONFIG": str(folder / "config.json"),
                "TMPDIR": str(folder / "tmp")}  # fmt: skip
-        process = self.running[number] = Process(number)
+        process = Process(number)
         process.child = await asyncio.create_subprocess_exec(
             *command, cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE, limit=1 << 20
         )
         process.reader = asyncio.create_task(process.read())
+        if not beside:
+            self.running[number] = process
         await asyncio.wait_for(process.ready.wait(), 30.0)
+        process.serving = True
         return process
 
+    async def upgrade(self, number: int) -> Process:
+        """Start a new version beside the one that runs, and end the older one once the new one is ready."""
+        old, new = self.running[number], await self.launch(number, beside=True)
+        self.running[number] = new
+        old.serving = False
+        assert old.child and old.reader
+        old.child.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(old.child.wait(), 10.0) == 0
+        await old.reader
+        self._look(old)
+        return new
+
+    def _leave(self, process: Process) -> None:
+        process.serving = False
+        for leave in self.leavers:
+            leave(process)
+
     def poke(self, number: int, which: int) -> None:
         """Stop a process where it stands (SIGSTOP), or let it go on (SIGCONT)."""
-        child = self.running[number].child
-        assert child
-        child.send_signal(which)
+        process = self.running[number]
+        assert process.child
+        if which == signal.SIGSTOP:
+            self._leave(process)
+        process.child.send_signal(which)
+        process.serving = process.serving or which == signal.SIGCONT
 
     async def end(self, number: int, which: int = signal.SIGKILL) -> int:
         """End a process; gives its exit code."""
         process = self.running.pop(number)
         assert process.child and process.reader
+        process.serving = False
         process.child.send_signal(which)
         code = await asyncio.wait_for(process.child.wait(), 10.0)
         await process.reader
+        self._leave(process)
         self._look(process)
         return code
 
@@ -155,9 +251,10 @@
             await asyncio.sleep(self.period_ms / 4000.0)
         raise AssertionError(f"after {patience_s} s {wanted} is not believed: {seen}")
 
-    def called_dead(self) -> set[int]:
-        """Give the numbers that a running process ever held for dead."""
-        lines = (line.split() for p in self.running.values() for line in p.lines)
+    def called_dead(self, among: list[int] | None = None) -> set[int]:
+        """Give the numbers that a running process, or one of these, ever held for dead."""
+        judges = [p for number, p in self.running.items() if among is None or number in among]
+        lines = (line.split() for process in judges for line in process.lines)
         return {int(words[4]) for words in lines if words[3:4] == ["member"] and words[5:6] == ["DEAD"]}
 
     async def ask_all(self, count: int = 5) -> None:
@@ -179,4 +276,6 @@
             if (child := self.running[number].child) and child.returncode is None:
                 child.send_signal(signal.SIGCONT)
                 await self.end(number)
+        for relay in self.wires.values():
+            relay.close()
         self.fabric.close()
--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,96 @@
+"""Clients of a fleet: a steady stream of requests to each gateway that runs, all judged.
+
+A client goes where the front would send it: to a process that says it is ready, until that one says it is
+going, is killed, or is stopped where it stands (the fleet closes its clients' connections then, as a front
+does). What is in the air when a process is killed ends without an answer and counts as broken off; every
+request that a running gateway took has to have its one answer.
+"""
+
+import asyncio
+import random
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from standins.client import Terminal
+
+if TYPE_CHECKING:
+    from standins.fleet import Fleet, Process
+
+OPEN, OBJECTS, EFFECTS = 24, 400, 0.05  # requests open on a connection; share of effects
+
+
+class Load:
+    """So many requests a second to each gateway, from `start` to `stop`."""
+
+    def __init__(self, fleet: "Fleet", each_per_s: float, objects: int = OBJECTS) -> None:
+        """Prepare."""
+        self.fleet, self.pause_s, self.objects = fleet, 1.0 / each_per_s, objects
+        self.rng = random.Random(fleet.rng.getrandbits(32))
+        self.terminals: dict[Process, Terminal] = {}
+        self.asks: set[asyncio.Task[None]] = set()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.served: Counter[int] = Counter()  # by gateway
+        self.answered: Counter[int] = Counter()
+        self.on = False
+
+    def start(self) -> None:
+        """Begin."""
+        self.on = True
+        self.fleet.leavers.append(self.leave)
+        self.tasks = [asyncio.create_task(self._stream(n)) for n in range(self.fleet.size)]
+
+    async def stop(self) -> None:
+        """End, once all that is open has its answer."""
+        self.on = False
+        await asyncio.gather(*self.tasks)
+        await asyncio.gather(*self.asks)
+        for terminal in self.terminals.values():
+            terminal.close()
+        self.fleet.leavers.remove(self.leave)
+
+    async def until(self, answers: int, among: list[int] | None = None) -> None:
+        """Wait until each of the gateways has given so many answers more."""
+        numbers = among if among is not None else sorted(self.fleet.running)
+        before = dict(self.answered)
+        async with asyncio.timeout(60.0):
+            while any(self.answered[n] - before.get(n, 0) < answers for n in numbers):
+                await asyncio.sleep(0.01)
+
+    def leave(self, process: "Process") -> None:
+        """Close the clients' connection to a process that will not answer."""
+        if terminal := self.terminals.pop(process, None):
+            terminal.close()
+
+    async def _stream(self, number: int) -> None:
+        await asyncio.sleep(self.rng.random() * self.pause_s)
+        while self.on:
+            process = self.fleet.running.get(number)
+            if process and process.serving:
+                terminal = self.terminals.get(process)
+                if terminal is None or terminal.ended:
+                    terminal = await self._connect(process)
+                if terminal and len(terminal.open) < OPEN:
+                    ask = asyncio.create_task(self._ask(number, terminal))
+                    self.asks.add(ask)
+                    ask.add_done_callback(self.asks.discard)
+            await asyncio.sleep(self.pause_s)
+
+    async def _connect(self, process: "Process") -> Terminal | None:
+        terminal = Terminal(
+            self.fleet.truth, self.fleet.verdicts, random.Random(self.rng.getrandbits(32))
+        )
+        try:
+            await terminal.connect(process.port)
+        except OSError:
+            return None
+        self.terminals[process] = terminal
+        return terminal
+
+    async def _ask(self, number: int, terminal: Terminal) -> None:
+        if self.rng.random() < EFFECTS:
+            key = f"{self.rng.getrandbits(128):032x}"
+            got = await terminal.effect("charge", self.rng.randrange(self.objects), key)
+        else:
+            got = await terminal.read("files", int(self.objects * self.rng.random() ** 2))
+        self.answered[number] += got is not None
+        self.served[number] += got is not None and got.code == 0
--- a/standins/parties.py
+++ b/standins/parties.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from hitchtiller.codec import resp
+from hitchtiller.codec.bus import CHANGES, HEAD, RECORD
 from standins.truth import Purge, Truth, now_ms
 
 
@@ -44,6 +45,7 @@
         self.asked: dict[tuple[int, int], int] = {}
         self.port = 0
         self.hook: Callable[[dict[str, str]], Any] | None = None  # awaited before an answer
+        self.ear: Callable[[tuple[str, int], dict[str, str]], None] | None = None  # each PULL: from, fields
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -54,15 +56,17 @@
         commands = resp.RespReader()
         killed: set[bytes] = set()
         tasks = set()
+        peer = writer.get_extra_info("peername")
         try:
             while data := await reader.read(65_536):
                 for word, name, *rest in commands.feed(data):
                     if word == b"KILL":
                         killed.add(name)
                     elif word == b"PULL":
-                        task = asyncio.create_task(
-                            self._pull(writer, name, resp.read_fields(rest[0]), killed)
-                        )
+                        fields = resp.read_fields(rest[0])
+                        if self.ear:
+                            self.ear(peer, fields)
+                        task = asyncio.create_task(self._pull(writer, name, fields, killed))
                         tasks.add(task)
                         task.add_done_callback(tasks.discard)
         except (ConnectionError, resp.BadResp, asyncio.CancelledError):
@@ -87,6 +91,8 @@
     ) -> None:
         self.pulls += 1
         key, part = int(fields["name"], 16), int(fields["piece"])
+        if "dedupe" in fields:
+            self.truth.effect(fields["dedupe"])
         self.asked[key, part] = self.asked.get((key, part), 0) + 1
         script, draw = self.script, self.rng.random()
         if self.hook:
@@ -112,7 +118,7 @@
             writer.write(answer)
 
 
-HEAD = struct.Struct(">QB")
+HEALTHS = ("Ready", "Terminating", "Gone")
 
 
 @dataclass(slots=True)
@@ -142,6 +148,7 @@
         self.port = 0
         self.silent = False
         self.late_ms = 0.0  # by which this gateway hears later than others
+        self.known: dict[str, Any] = {}  # what the present life's configuration holds
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -164,7 +171,19 @@
                 )
                 self.life.known.append({"offset": number, "ban": ban | {"ts": int(purge.at_ms)}})
         self.told = sum(purge.told_ms + self.late_ms <= now for purge in self.truth.purges)
-        return {"offset": len(self.life.events), "batch": self.life.known}
+        self.known = {"offset": len(self.life.events), "batch": self.life.known}
+        return self.known
+
+    def change(self, host: dict[str, Any], zones: list[str], kinds: list[str]) -> None:
+        """Tell that a host has changed; zones and kinds are named in the order of the settings."""
+        ip, _, port = host["dial"].rpartition(":")
+        record = RECORD.pack(
+            int(host["host"].removeprefix("s-"), 16), bytes(map(int, ip.split("."))), int(port),
+            HEALTHS.index(host["health"]), zones.index(host["site"]), kinds.index(host["class"]),
+            host["block"], int(1000 * host["share"]), int(host["born_ms"]),
+        )  # fmt: skip
+        payload = HEAD.pack(len(self.life.events) + 1, CHANGES) + record
+        self.life.events.append(len(payload).to_bytes(4, "big") + payload)
 
     def _add(self, purge: Purge) -> None:
         number = len(self.life.events) + 1
--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,132 @@
+"""TCP between a gateway and a server or the bus, with faults: a relay of its own for each pair.
+
+A gateway dials the relay's port, which is the same for all its lives; the relay dials whoever `target` names
+then. So one gateway can be cut from a server that all others still reach. Every fault begins and ends by a
+call, and holds for connections that are open as well as for new ones.
+
+| way | what a gateway meets |
+| --- | --- |
+| PASS | the server |
+| REFUSE | nobody listens: new connections are refused, open ones reset |
+| RESET | each connection is accepted, and reset at its first byte |
+| SILENT | bytes wait in both directions until the fault ends |
+| HALF | bytes pass towards the server; its answers wait |
+| SLOW | `SLOW_BYTES` a second in each direction |
+"""
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import Callable
+from enum import Enum
+
+SLOW_BYTES = 20_000.0
+CHUNK = 16_384
+LINGER = struct.pack("ii", 1, 0)  # a close with it is a reset
+
+
+class Way(Enum):
+    """What befalls a pair's connections."""
+
+    PASS = "pass"
+    REFUSE = "refuse"
+    RESET = "reset"
+    SILENT = "silent"
+    HALF = "half"
+    SLOW = "slow"
+
+
+class Relay:
+    """One pair's way."""
+
+    def __init__(
+        self, target: Callable[[], tuple[str, int]], ends: dict[tuple[str, int], int], number: int
+    ) -> None:
+        """Carry to whoever `target` names; `ends` gets each connection's own end, for gateway `number`."""
+        self.target, self.way, self.port = target, Way.PASS, 0
+        self.ends, self.number = ends, number
+        self.server: asyncio.Server | None = None
+        self.gates = {up: asyncio.Event() for up in (True, False)}  # towards the server, and back
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen, at the same port as before if there was one."""
+        self.server = await asyncio.start_server(self._carry, "127.0.0.1", self.port, reuse_address=True)
+        self.port = self.server.sockets[0].getsockname()[1]
+        for gate in self.gates.values():
+            gate.set()
+
+    async def set(self, way: Way) -> None:
+        """Have another fault from now on, or none."""
+        if way is self.way:
+            return
+        old, self.way = self.way, way
+        for up, gate in self.gates.items():
+            blocked = way is Way.SILENT or (way is Way.HALF and not up)
+            gate.clear() if blocked else gate.set()
+        if way in (Way.REFUSE, Way.RESET):
+            self._reset_all()
+        if way is Way.REFUSE and self.server:
+            self.server.close()
+            self.server = None
+        elif old is Way.REFUSE:
+            await self.start()
+
+    def close(self) -> None:
+        """End it."""
+        if self.server:
+            self.server.close()
+        self._reset_all()
+        for task in self.tasks:
+            task.cancel()
+
+    def _reset_all(self) -> None:
+        for writer in list(self.writers):
+            self._reset(writer)
+
+    def _reset(self, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            sock: socket.socket = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+        writer.transport.abort()
+
+    async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task
+        self.tasks.add(task)
+        self.writers.add(writer)
+        far: asyncio.StreamWriter | None = None
+        try:
+            if self.way is Way.RESET:
+                await reader.read(1)
+                return self._reset(writer)
+            far_reader, far = await asyncio.open_connection(*self.target())
+            self.writers.add(far)
+            self.ends[far.get_extra_info("sockname")] = self.number
+            ways = (self._pump(reader, far, True), self._pump(far_reader, writer, False))
+            pumps = [asyncio.ensure_future(way) for way in ways]
+            try:
+                await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for pump in pumps:
+                    pump.cancel()
+        except (OSError, asyncio.CancelledError):
+            self._reset(writer)  # nobody is there behind the relay
+        finally:
+            for one in (writer, far):
+                if one:
+                    self.writers.discard(one)
+                    one.close()
+            self.tasks.discard(task)
+
+    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, up: bool) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK):
+                await self.gates[up].wait()
+                if self.way is Way.SLOW:
+                    await asyncio.sleep(len(data) / SLOW_BYTES)
+                writer.write(data)
+                await writer.drain()
+            await self.gates[up].wait()
--- a/standins/truth.py
+++ b/standins/truth.py
@@ -48,6 +48,15 @@
     purges: list[Purge] = field(default_factory=list)
     by_key: dict[int, list[Purge]] = field(default_factory=dict)
     by_group: dict[int, list[Purge]] = field(default_factory=dict)
+    window_ms: float = 6_000.0  # in which a repeat of an effect is known by its key, and dropped
+    ran: dict[str, float] = field(default_factory=dict)  # effects by key: when they ran first
+    twice: list[str] = field(default_factory=list)  # those that ran again
+
+    def effect(self, key: str) -> None:
+        """Run an effect, unless its key is known."""
+        now = now_ms()
+        if now - self.ran.setdefault(key, now) > self.window_ms:
+            self.twice.append(key)
 
     def group(self, key: int) -> int:
         """Give an object's group."""
--- /dev/null
+++ b/tests/fleet/test_fleet_faults.py
@@ -0,0 +1,157 @@
+"""Several processes with faults towards servers and the bus, restarts beside faults, a cold cache in a cut.
+
+Each is judged as in `test_fleet_processes.py`, and by what the servers were asked: drains and cold starts
+over all gateways together, effects once.
+"""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+
+from standins.fabric import Faults
+from standins.fleet import BUS, Fleet, name
+from standins.load import Load
+from standins.relay import Way
+
+ALIVE, GONE = {"ALIVE"}, {"DEAD"}
+
+
+def play(fleet: Fleet, story: Callable[[Fleet], Awaitable[None]]) -> Fleet:
+    """Start a fleet, tell the story, judge."""
+
+    async def run() -> None:
+        try:
+            await fleet.start()
+            await fleet.until({n: ALIVE for n in range(fleet.size)})
+            await story(fleet)
+            await fleet.ask_all()
+        finally:
+            await fleet.finish()
+
+    asyncio.run(run())
+    assert fleet.faults == [] and fleet.verdicts.wrong == []
+    assert fleet.watch.broken == [] and fleet.truth.twice == []
+    return fleet
+
+
+async def standing(fleet: Fleet, number: int, wanted: str, patience_s: float = 20.0) -> None:
+    """Wait until a gateway names its standing so."""
+    async with asyncio.timeout(patience_s):
+        while (await fleet.running[number].call("members"))[-2] != f"standing|{wanted}":
+            await asyncio.sleep(0.05)
+
+
+def test_one_cut_from_the_bus_but_not_from_peers_stays_a_member_and_serves() -> None:
+    async def story(fleet: Fleet) -> None:
+        load = Load(fleet, 20.0)
+        load.start()
+        await fleet.wire(Way.SILENT, [0], [BUS])
+        ended = len([line for line in fleet.running[0].lines if "end bus" in line])
+        while len([line for line in fleet.running[0].lines if "end bus" in line]) < ended + 2:
+            await asyncio.sleep(0.05)  # it has given the silent bus up twice
+        fleet.tell(1, health="Terminating")  # which it can't hear
+        await load.until(30)
+        assert await fleet.running[1].members() == {n: "ALIVE" for n in range(4)}
+        assert (await fleet.running[0].call("members"))[-2] == "standing|WHOLE"
+        await fleet.wire(Way.PASS, [0], [BUS])
+        told = fleet.watch.reached.get((0, name(1)), 0)
+        await load.until(60)
+        await load.stop()
+        assert load.served[0] > 50
+        assert fleet.watch.reached.get((0, name(1)), 0) - told < 30  # it has heard of the drain since
+
+    play(Fleet(4, 21), story)
+
+
+def test_one_cut_from_everything_is_deaf_sends_clients_elsewhere_and_comes_back() -> None:
+    async def story(fleet: Fleet) -> None:
+        fleet.fabric.faults = Faults(cut=lambda a, b: 0 in (a, b))
+        await fleet.wire(Way.SILENT, [0])
+        await fleet.until({0: GONE}, among=[1, 2])
+        await standing(fleet, 0, "DEAF")
+        assert (await fleet.running[0].call("ready"))[0].startswith("-ERR neither gateways")
+        fleet.fabric.faults = Faults()
+        await fleet.wire(Way.PASS, [0])
+        await fleet.until({n: ALIVE for n in range(3)})
+        await standing(fleet, 0, "WHOLE")
+        assert await fleet.running[0].call("ready") == ["+OK ready"]
+
+    play(Fleet(3, 22), story)
+
+
+def test_a_member_that_flaps_is_taken_back_each_time_and_nobody_else_is_blamed() -> None:
+    async def story(fleet: Fleet) -> None:
+        load = Load(fleet, 15.0)
+        load.start()
+        for _ in range(3):
+            fleet.fabric.faults = Faults(cut=lambda a, b: 2 in (a, b))
+            await fleet.until({2: GONE}, among=[0, 1, 3])
+            fleet.fabric.faults = Faults()
+            await fleet.until({n: ALIVE for n in range(4)})
+        await load.stop()
+        assert fleet.called_dead(among=[0, 1, 3]) == {2}
+
+    play(Fleet(4, 23), story)
+
+
+def test_an_upgrade_with_two_processes_of_one_number_is_one_member_all_along() -> None:
+    async def story(fleet: Fleet) -> None:
+        load = Load(fleet, 15.0)
+        load.start()
+        for number in range(3):
+            await fleet.upgrade(number)
+            await fleet.until({n: ALIVE for n in range(3)})
+        await load.until(20)
+        await load.stop()
+        assert fleet.called_dead() == set()
+
+    play(Fleet(3, 24), story)
+
+
+def test_an_upgrade_in_the_middle_of_a_cut() -> None:
+    async def story(fleet: Fleet) -> None:
+        fleet.fabric.faults = Faults(cut=lambda a, b: (a < 2) != (b < 2))
+        await fleet.until({0: GONE, 1: GONE}, among=[2, 3])
+        await fleet.upgrade(0)
+        fleet.fabric.faults = Faults()
+        await fleet.until({n: ALIVE for n in range(4)})
+
+    play(Fleet(4, 25), story)
+
+
+def test_a_cold_cache_in_the_middle_of_a_cut_is_not_pushed_over_by_both_sides() -> None:
+    async def story(fleet: Fleet) -> None:
+        load = Load(fleet, 50.0)
+        load.start()
+        fleet.fabric.faults = Faults(cut=lambda a, b: (a < 3) != (b < 3))
+        await fleet.until({n: GONE for n in (3, 4, 5)}, among=[0, 1, 2])
+        await fleet.until({n: GONE for n in (0, 1, 2)}, among=[3, 4, 5])
+        await fleet.restart_cache(0)
+        await load.until(150)
+        fleet.fabric.faults = Faults()
+        await fleet.until({n: ALIVE for n in range(6)})
+        await load.stop()
+
+    fleet = play(Fleet(6, 26, weight=4.0, flow_kb_per_s=300.0), story)
+    assert 0.05 < fleet.watch.cold.most <= 1.0, "the cold cache was used, and not pushed over"
+
+
+def test_a_cache_refuses_one_gateway_only() -> None:
+    async def story(fleet: Fleet) -> None:
+        load = Load(fleet, 20.0)
+        load.start()
+        await fleet.wire(Way.REFUSE, [1], [name(0)])
+        await load.until(40)
+        await fleet.wire(Way.PASS, [1], [name(0)])
+        await fleet.wire(Way.RESET, [2], [name(1)])
+        await load.until(40)
+        await fleet.wire(Way.PASS, [2], [name(1)])
+        fleet.poke(0, signal.SIGSTOP)
+        await fleet.until({0: GONE}, among=[1, 2])
+        fleet.poke(0, signal.SIGCONT)
+        await fleet.until({n: ALIVE for n in range(3)})
+        await load.until(20)
+        await load.stop()
+        assert min(load.served.values()) > 80
+
+    play(Fleet(3, 27), story)
