A fill that waits for its source no longer ends its connection as stuck

Checked: nearly all stuck ends had 1 to 4 fills open and nothing else; ends by silence were even over all caches, not on the bad ones. Lines at fault: send() in decide.py gave fills the same overdue_ms as looks, 400 ms and twice the work, before their aim; check() in link.py ends a connection that is overdue and quiet for 400 ms. With few requests a gateway nothing else comes on it, so each slow fill ended all fills there; they were asked for again, and the jam fed itself. Change: a fill is a sign of its connection only after twice its aim or half of its time.

--- a/hitchtiller/decide.py
+++ b/hitchtiller/decide.py
@@ -35,6 +35,7 @@
 CLEAR, UNTOLD_FILL = 0.8, 0.3  # what an answer leaves of the blame; share of fills, where that is untold
 EJECT_AT, EJECT_MS = 0.55, (1_500.0, 12_000.0)  # blame at which a server is left out; first, longest time
 OVERDUE, SWEEP_MS = (400.0, 2.0), 50.0  # overdue after this and so many times its work; how often to look
+STILL = 2.0, 0.5  # times its aim, share of its time, until a fill's silence is a sign of its connection
 # Further attempts
 RETRY_EARN, RETRY_BANK = 0.2, 20.0  # further attempts earned by a request, saved at most: rescue or load
 WAY, WAY_COST = ("econnreset", "econnrefused", "etimedout"), 0.25  # a break may hit many at once
@@ -290,6 +291,8 @@
         keep, left = 0 if held.cls.write else held.keep, held.ask.deadline_ms - self.now
         names, how = (node.m.server, source.m.server), (self.s.joins, stage == "sibling", stage == "fill")
         overdue = OVERDUE[0] + OVERDUE[1] * held.work
+        if source is not node:  # it may wait for its source, and a thin connection carries nothing else
+            overdue = max(STILL[0] * aim, STILL[1] * held.cls.deadline_ms)
         self.acts.append(api.Get(held.ask.id, *names, left, keep, self.oldest(held, stage), *how, overdue))
 
     def book(self, attempt: Attempt, sign: int) -> None:
--- a/tests/fleet/test_fleet_faults.py
+++ b/tests/fleet/test_fleet_faults.py
@@ -5,15 +5,18 @@
 """
 
 import asyncio
+import random
 import signal
 from collections.abc import Awaitable, Callable
 
+from standins.client import Terminal
 from standins.fabric import Faults
 from standins.fleet import BUS, Fleet, name
 from standins.load import Load
 from standins.relay import Way
 
 ALIVE, GONE = {"ALIVE"}, {"DEAD"}
+SLOW_FROM = 1 << 32  # objects whose fills take long
 
 
 def play(fleet: Fleet, story: Callable[[Fleet], Awaitable[None]]) -> Fleet:
@@ -155,3 +158,29 @@
         assert min(load.served.values()) > 80
 
     play(Fleet(3, 27), story)
+
+
+def test_a_slow_source_costs_no_connections_and_no_answers() -> None:
+    """Each connection with a fill of 0.8 s on it was ended, and the fill asked for again: a jam fed itself."""
+
+    async def slow(fields: dict[str, str]) -> None:
+        if "up" in fields and int(fields["name"], 16) >= SLOW_FROM:
+            await asyncio.sleep(1.2)
+
+    async def story(fleet: Fleet) -> None:
+        for cache in fleet.caches:
+            cache.hook = slow
+        terminals = []
+        for process in fleet.running.values():
+            terminal = Terminal(fleet.truth, fleet.verdicts, random.Random(process.number))
+            await terminal.connect(process.port)
+            terminals.append(terminal)
+        asked = [t.read("files", SLOW_FROM + n) for n in range(4) for t in terminals]
+        answers = await asyncio.gather(*asked)
+        assert [got and got.code for got in answers] == [0] * len(answers)
+        for terminal in terminals:
+            terminal.close()
+        ended = [line for p in fleet.running.values() for line in p.lines if "code=stuck" in line]
+        assert ended == []
+
+    play(Fleet(3, 28), story)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -386,3 +386,13 @@
     assert not bench.router.in_time(held, node)
     bench.router.present = lambda: 0.1
     assert bench.router.in_time(held, node)
+
+
+def test_a_fill_that_waits_for_its_source_is_no_sign_of_a_stuck_connection(bench: Bench) -> None:
+    """On thin connections each slow fill ended its connection before its aim, and all fills that were on it."""
+    (fill,) = gets(bench.ask(1, key=1, name="big", size_kb=100.0))
+    assert fill.source != fill.server
+    assert fill.overdue_ms >= 2.0 * (500.0 + 2.0 * 100.0)  # aim and stretch of the class
+    spread(bench, 5)
+    (look,) = gets(bench.ask(2, key=5, name="big", size_kb=100.0))
+    assert look.source == look.server and look.overdue_ms == 400.0 + 2.0 * 100.0
