--- a/tests/fleet/test_fleet_faults.py
+++ b/tests/fleet/test_fleet_faults.py
@@ -161,7 +161,7 @@
 
 
 def test_a_slow_source_costs_no_connections_and_no_answers() -> None:
-    """Each connection with a fill of 0.8 s on it was ended, and the fill asked for again: a jam fed itself."""
+    """Each connection with a fill of 0.8 s on it ended, the fill was asked for again: a jam fed itself."""
 
     async def slow(fields: dict[str, str]) -> None:
         if "up" in fields and int(fields["name"], 16) >= SLOW_FROM:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -389,7 +389,7 @@
 
 
 def test_a_fill_that_waits_for_its_source_is_no_sign_of_a_stuck_connection(bench: Bench) -> None:
-    """On thin connections each slow fill ended its connection before its aim, and all fills that were on it."""
+    """On thin connections each slow fill ended its connection before its aim, with all fills on it."""
     (fill,) = gets(bench.ask(1, key=1, name="big", size_kb=100.0))
     assert fill.source != fill.server
     assert fill.overdue_ms >= 2.0 * (500.0 + 2.0 * 100.0)  # aim and stretch of the class
