--- /dev/null
+++ b/standins/detect.py
@@ -0,0 +1,165 @@
+"""How soon a death is known to all, what it costs, and how often a live gateway is held for dead.
+
+    python -m standins.detect --sizes 5,40,200,1000 --loss 0,0.05,0.3 --kills 8 --plot cost.png
+    python -m standins.detect --processes 40 --kills 5
+
+In virtual time the detectors are the program's own on a simulated network; with `--processes` they are
+whole gateways on loopback, with the loss made by the fabric. Each kill is followed by a start, and by quiet
+until the fleet is whole again. False deaths are counted over all views and all of the time; messages and
+bytes only over quiet time, so that the storm of starts is not in them. Times are in periods: all scale.
+"""
+
+import argparse
+import asyncio
+import json
+import sys
+from dataclasses import asdict, dataclass, field
+from statistics import median
+
+from hitchtiller.membership.view import State
+from standins.gossipnet import Net
+
+SETTLE, QUIET, PATIENCE = 12.0, 15.0, 60.0  # periods
+
+
+@dataclass(slots=True)
+class Figures:
+    """What was seen at one size and loss; times in ms of a period of `period_ms`."""
+
+    where: str
+    size: int
+    loss: float
+    period_ms: float
+    known_ms: list[float] = field(default_factory=list)
+    false_deaths: int = 0
+    hours: float = 0.0  # of virtual or real time, scaled to periods of one second
+    messages: float = 0.0  # a gateway and period, in quiet
+    bytes: float = 0.0
+
+    def row(self) -> str:
+        """Write it as a line of a table."""
+        known = sorted(self.known_ms)
+        most = known[min(len(known) - 1, int(0.99 * len(known)))]
+        rate = self.false_deaths / self.hours if self.hours else 0.0
+        return (
+            f"| {self.where} | {self.size} | {self.loss:g} | {median(known) / self.period_ms:.1f} | "
+            f"{most / self.period_ms:.1f} | {len(known)} | {self.false_deaths} in {self.hours * 60:.1f} min "
+            f"({rate:.1f} an hour) | {self.messages:.1f} | {self.bytes:.0f} |"
+        )
+
+
+HEAD = (
+    "| where | gateways | loss | median, periods | 99th percentile | deaths | false deaths | "
+    "datagrams a gateway and period | bytes |\n|" + " --- |" * 9
+)
+
+
+def virtual(size: int, loss: float, kills: int, seed: int) -> Figures:
+    """Measure in virtual time."""
+    net = Net(size, seed=seed, loss=loss)
+    period, found = net.period_ms, Figures("virtual time", size, loss, net.period_ms)
+    net.run(SETTLE * period)
+    sent, carried, begun = sum(net.sent), sum(net.bytes), net.now
+    net.run(net.now + QUIET * period)
+    periods = (net.now - begun) / period
+    found.messages = (sum(net.sent) - sent) / size / periods
+    found.bytes = (sum(net.bytes) - carried) / size / periods
+    for kill in range(kills):
+        victim, at = (kill * 7 + 1) % size, net.now
+        net.kill(victim)
+        while net.believe(victim, State.DEAD, State.LEFT) < len(net.nodes):
+            if net.now - at > PATIENCE * period:
+                break
+            net.run(net.now + period / 4.0)
+        found.known_ms.append(net.now - at)
+        net.start(victim)
+        net.run(net.now + SETTLE * period)
+    found.false_deaths, found.hours = net.false_deaths, net.now / period / 3600.0
+    return found
+
+
+async def processes(size: int, loss: float, kills: int, seed: int) -> Figures:
+    """Measure with whole gateways."""
+    from standins.fabric import Faults
+    from standins.fleet import Fleet
+
+    fleet = Fleet(size, seed, period_ms=400.0)
+    found, period = Figures("processes", size, loss, fleet.period_ms), fleet.period_ms
+    loop = asyncio.get_running_loop()
+    whole = {n: {"ALIVE"} for n in range(size)}
+    killed = set[int]()
+    try:
+        await fleet.start()
+        begun = loop.time()
+        fleet.fabric.faults = Faults(lose=loss)
+        await fleet.until(whole, patience_s=120.0)
+        rows, quiet = len(fleet.fabric.history), loop.time()
+        await asyncio.sleep(QUIET * period / 1000.0)
+        periods = (loop.time() - quiet) * 1000.0 / period
+        carried = fleet.fabric.history[rows:]
+        found.messages = len(carried) / size / periods
+        found.bytes = sum(row[3] for row in carried) / size / periods
+        for kill in range(kills):
+            victim = (kill * 7 + 1) % size
+            killed.add(victim)
+            at = loop.time()
+            await fleet.end(victim)
+            await fleet.until({victim: {"DEAD"}}, patience_s=PATIENCE * period / 1000.0)
+            found.known_ms.append(1000.0 * (loop.time() - at))
+            await fleet.launch(victim)
+            await fleet.until({victim: {"ALIVE"}}, patience_s=PATIENCE * period / 1000.0)
+        found.hours = (loop.time() - begun) * 1000.0 / period / 3600.0
+        found.false_deaths = len(fleet.called_dead() - killed)
+    finally:
+        await fleet.finish()
+    return found
+
+
+def plot(found: list[Figures], file: str) -> None:
+    """Draw the cost of a gateway over the fleet's size, a line for each loss."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, (left, right) = pyplot.subplots(1, 2, figsize=(9, 3.6))
+    for loss in sorted({f.loss for f in found}):
+        line = [f for f in found if f.loss == loss and f.where == "virtual time"]
+        left.plot([f.size for f in line], [f.messages for f in line], marker="o", label=f"{loss:.0%} lost")
+        right.plot([f.size for f in line], [f.bytes for f in line], marker="o", label=f"{loss:.0%} lost")
+    for axes, name in ((left, "datagrams"), (right, "bytes")):
+        axes.set(xscale="log", xlabel="gateways", ylabel=f"{name} a gateway and period", ylim=(0, None))
+        axes.legend()
+    figure.tight_layout()
+    figure.savefig(file, dpi=110)
+
+
+def main() -> None:
+    """Measure as told on the command line."""
+    parser = argparse.ArgumentParser(description="measure membership's detection")
+    parser.add_argument("--sizes", default="5,40,200")
+    parser.add_argument("--processes", default="", help="sizes of fleets of real processes instead")
+    parser.add_argument("--loss", default="0,0.05,0.3")
+    parser.add_argument("--kills", type=int, default=8)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--plot", default="")
+    parser.add_argument("--json", action="store_true")
+    args = parser.parse_args()
+    found = []
+    if not args.json:
+        print(HEAD)
+    for loss in map(float, args.loss.split(",")):
+        for size in map(int, (args.processes or args.sizes).split(",")):
+            if args.processes:
+                one = asyncio.run(processes(size, loss, args.kills, args.seed))
+            else:
+                one = virtual(size, loss, args.kills, args.seed)
+            found.append(one)
+            print(json.dumps(asdict(one)) if args.json else one.row())
+            sys.stdout.flush()
+    if args.plot:
+        plot(found, args.plot)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/membership/test_membership_fleet.py
+++ b/tests/membership/test_membership_fleet.py
@@ -3,6 +3,7 @@
 import pytest
 
 from hitchtiller.membership.view import State
+from standins import detect
 from standins.gossipnet import Net
 
 SETTLE_MS = 8_000.0
@@ -127,3 +128,11 @@
     net.cut = lambda a, b: False
     net.run(net.now + 20_000.0)
     assert net.agree() and net.believe(0, State.ALIVE) == 4
+
+
+def test_the_figures_of_detection_count_a_live_one_that_is_held_for_dead() -> None:
+    found = detect.virtual(5, 0.0, 1, seed=1)
+    assert len(found.known_ms) == 1 and 2_000.0 < found.known_ms[0] < 12_000.0
+    assert found.false_deaths == 0 and 1.0 < found.messages < 4.0 and found.bytes < 256.0 * found.messages
+    worse = detect.virtual(5, 0.75, 1, seed=1)
+    assert worse.false_deaths > 0, "at three in four lost somebody is held for dead"
