Word on servers between gateways: left out on the word of two independent witnesses

A fleet of N gateways paid N times for one sick server, each with time-outs of its own. membership/evidence.py keeps reports by witness (one repeated by forty is one), an own answer outweighs what was said before it, a verdict is given once; words of kind REPORT carry them, which older readers drop. ops/members.py says what is left out and leaves out on a verdict, through the decisions' own blame.

--- a/hitchtiller/membership/detector.py
+++ b/hitchtiller/membership/detector.py
@@ -22,9 +22,10 @@
 from dataclasses import dataclass
 from random import Random
 
+from hitchtiller.membership.evidence import FANOUT, Evidence
 from hitchtiller.membership.gossip import Gossip
 from hitchtiller.membership.view import UNHEARD, Change, Claim, State, View
-from hitchtiller.membership.words import ITEMS, Kind, Word, pack, unpack
+from hitchtiller.membership.words import ITEMS, REPORTS, Kind, Word, pack, unpack
 
 HELPERS, PAGE_EVERY, START_PAGES = 3, 10, 3
 DIRECT, ROUNDS = 0.3, 2  # of a period, for an answer; rounds of asking again, itself and by helpers
@@ -64,7 +65,7 @@
         """Start; `incarnation` is the start's Unix milliseconds."""
         self.me, self.fleet, self.period_ms, self.rng = me, fleet, period_ms, rng
         self.view = View(me, size, incarnation)
-        self.gossip = Gossip(size)
+        self.gossip, self.evidence = Gossip(size), Evidence(me)
         self.view.ears.append(self._changed)
         self.heard: dict[int, float] = {}
         self.probes: dict[int, Probe] = {}
@@ -118,6 +119,8 @@
                 return self._ping(word.target, now_ms, sender, word.number)
             case Kind.PAGE:
                 return self._page(sender, word.target)
+            case Kind.REPORT:
+                self.evidence.take((r for r in word.reports if r.by in self.view.claims), now_ms)
         return []
 
     def hear(self, number: int, now_ms: float) -> None:
@@ -134,6 +137,14 @@
         self.suspicions.pop(number, None)
         return self.view.forget(number)
 
+    def report(self, now_ms: float) -> Datagrams:
+        """Give what is to be said of servers, to a few; nothing while there is no news."""
+        out: Datagrams = []
+        for peer in self._some(FANOUT, ()):
+            if reports := self.evidence.tell(now_ms, REPORTS):
+                out += self._pack(peer, Word(Kind.REPORT, self.me, 0, reports=reports))
+        return out
+
     # Periods
 
     def _period(self, now_ms: float) -> Datagrams:
--- /dev/null
+++ b/hitchtiller/membership/evidence.py
@@ -0,0 +1,129 @@
+"""Word on servers: what other gateways saw of a cache or district that I have not asked lately.
+
+With little traffic each gateway pays time-outs of its own for each sick server: a fleet of N pays N times
+for one. So a gateway that leaves a server out says so, and others leave it out on the word of enough of them.
+
+A report is one witness's: the server (a mark of its name), the sign, who saw it, how long ago, how often. It
+is passed on as that witness's, so one witness repeated by forty is one; who left a server out on the word of
+others is no witness. Clocks need not agree: reports carry ages. What is believed, and when not:
+
+- NEEDED independent witnesses within KEEP_MS, the same for every fleet: one that is itself cut from a server
+  is one witness, and so is a wrong process; two that are cut from it by the same cut are the price;
+- never against what I saw myself: an answer of the server's takes all reports from before it away, since
+  what a server answers no cut can falsify;
+- a verdict is given once; it is given again only for reports that are newer than it.
+
+It is preference only: whom it leaves out is tried again after its time as after any suspicion, no rule's
+share depends on it, and the decisions leave nobody out where its likes are blamed too.
+
+Bounds over 200 gateways: WITNESSES reports a server are kept and passed on, TIMES each, as many in a
+datagram as fit, one datagram to FANOUT others a tick while there is news: a sick server costs at most
+WITNESSES * TIMES mentions of nine bytes a gateway.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import IntEnum
+
+KEEP_MS, NEEDED, WITNESSES = 6_000.0, 2, 4
+TIMES, FANOUT = 6, 3
+
+
+class Sign(IntEnum):
+    """What a witness saw."""
+
+    SILENT = 0
+    REFUSED = 1
+    FAILING = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What one witness says of one server."""
+
+    server: int  # mark of its name
+    sign: Sign
+    by: int
+    age_ms: float
+    count: int = 1  # how often that witness saw it
+
+
+@dataclass(slots=True)
+class Kept:
+    """A report as it is kept here: when it was seen by this gateway's clock, how often it was told."""
+
+    sign: Sign
+    at_ms: float
+    count: int
+    told: int = 0
+
+
+class Evidence:
+    """One gateway's knowledge of what others saw of servers."""
+
+    def __init__(self, me: int) -> None:
+        """Know nothing."""
+        self.me = me
+        self.reports: dict[int, dict[int, Kept]] = {}  # server, witness
+        self.answered: dict[int, float] = {}  # when a server last answered me
+        self.judged: dict[int, float] = {}  # when a verdict was last given
+        self.counts: dict[int, int] = {}  # how often I saw a server sick: tells my reports apart
+
+    def saw(self, server: int, sign: Sign, now_ms: float) -> None:
+        """Take what I saw myself; it is told, and is no witness for me."""
+        self.counts[server] = self.counts.get(server, 0) + 1
+        self.reports.setdefault(server, {})[self.me] = Kept(sign, now_ms, self.counts[server])
+
+    def hears(self, server: int, now_ms: float) -> None:
+        """Take an answer of a server's: what was said of it before is void for me."""
+        self.answered[server] = max(now_ms, self.answered.get(server, now_ms))
+        self.reports.get(server, {}).pop(self.me, None)
+
+    def take(self, reports: Iterable[Report], now_ms: float) -> None:
+        """Take others' word; older word of the same witness, and what is too old, changes nothing."""
+        for report in reports:
+            at = now_ms - report.age_ms
+            if report.by == self.me or report.age_ms >= KEEP_MS:
+                continue
+            witnesses = self.reports.setdefault(report.server, {})
+            old = witnesses.get(report.by)
+            if old is None and sum(by != self.me for by in witnesses) >= WITNESSES:
+                continue  # more add nothing
+            if old is None or report.count > old.count:
+                witnesses[report.by] = Kept(report.sign, at, report.count)
+
+    def witnesses(self, server: int, now_ms: float) -> set[int]:
+        """Give who else saw a server sick lately, and since it last answered me."""
+        since = max(now_ms - KEEP_MS, self.answered.get(server, 0.0), self.judged.get(server, 0.0))
+        kept = self.reports.get(server, {})
+        return {by for by, report in kept.items() if by != self.me and report.at_ms > since}
+
+    def verdicts(self, now_ms: float) -> list[int]:
+        """Give the servers that enough others saw sick, each once; forgets what is too old."""
+        found = []
+        for server in list(self.reports):
+            if len(self.witnesses(server, now_ms)) >= NEEDED:
+                self.judged[server] = now_ms
+                found.append(server)
+            kept = {by: k for by, k in self.reports[server].items() if now_ms - k.at_ms < KEEP_MS}
+            if kept:
+                self.reports[server] = kept
+            else:
+                del self.reports[server]
+        for table in (self.answered, self.judged):
+            for server in [s for s, at in table.items() if now_ms - at >= KEEP_MS]:
+                del table[server]
+        return found
+
+    def tell(self, now_ms: float, most: int) -> list[Report]:
+        """Give what goes with the next datagram: the least told first; counts it as told once."""
+        known = [
+            (kept.told, server, by, kept)
+            for server, witnesses in self.reports.items()
+            for by, kept in witnesses.items()
+            if kept.told < TIMES and now_ms - kept.at_ms < KEEP_MS
+        ]
+        chosen = sorted(known, key=lambda row: row[:3])[:most]
+        for _, _, _, kept in chosen:
+            kept.told += 1
+        return [Report(server, k.sign, by, now_ms - k.at_ms, k.count) for _, server, by, k in chosen]
--- a/hitchtiller/membership/words.py
+++ b/hitchtiller/membership/words.py
@@ -2,6 +2,10 @@
 
     head   = mark:1 version:1 fleet:4 check:4 kind:1 number:4 target:2 sender:2
     word   = head count:1 items          item = number:2 state:1 incarnation:6 by:2, 11 bytes
+    report = head count:1 reports        report = server:4 by:2 sign:1 age:1 count:1, 9 bytes
+
+A word of kind REPORT holds reports on servers in place of claims; `server` is the CRC-32 of its name, `age`
+is in 25 ms. A reader that knows no such kind drops it.
 
 All numbers are unsigned and big-endian. `mark` is 0xA7, which no note of an older version begins with (their
 first byte is a kind below 4), so that older neighbours drop these and are not harmed. `fleet` is a hash of
@@ -15,12 +19,15 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
+from hitchtiller.membership.evidence import Report, Sign
 from hitchtiller.membership.view import Claim, State
 
 MARK, VERSION, MOST = 0xA7, 1, 256
 HEAD = struct.Struct(">BBIIBIHHB")
 ITEM = struct.Struct(">HBHIH")  # the incarnation's 48 bits as 16 and 32
-ITEMS = (MOST - HEAD.size) // ITEM.size
+REPORT = struct.Struct(">IHBBB")
+ITEMS, REPORTS = (MOST - HEAD.size) // ITEM.size, (MOST - HEAD.size) // REPORT.size
+AGE_MS = 25.0  # a step of a report's age
 Item = tuple[int, Claim, int]  # number, what is claimed, who first said so
 
 
@@ -32,6 +39,7 @@
     ASK = 2  # ping `target` for me
     PAGE = 3  # tell me what you hold from number `target` on
     TELL = 4  # claims, unasked or as a page
+    REPORT = 5  # what was seen of servers
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +51,7 @@
     number: int  # of the probe that this belongs to
     target: int = 0
     items: list[Item] = field(default_factory=list)
+    reports: list[Report] = field(default_factory=list)  # of kind REPORT only
 
 
 def pack(word: Word, fleet: int) -> bytes:
@@ -52,7 +61,14 @@
         ITEM.pack(number, claim.state, claim.incarnation >> 32, claim.incarnation & 0xFFFFFFFF, by)
         for number, claim, by in items
     )
-    fields = (word.kind, word.number & 0xFFFFFFFF, word.target, word.sender, len(items))
+    if word.kind is Kind.REPORT:
+        items = []
+        tail = b"".join(
+            REPORT.pack(r.server, r.by, r.sign, min(255, round(r.age_ms / AGE_MS)), min(255, r.count))
+            for r in word.reports[:REPORTS]
+        )
+    count = min(len(word.reports), REPORTS) if word.kind is Kind.REPORT else len(items)
+    fields = (word.kind, word.number & 0xFFFFFFFF, word.target, word.sender, count)
     bare = HEAD.pack(MARK, VERSION, fleet & 0xFFFFFFFF, 0, *fields) + tail
     return HEAD.pack(MARK, VERSION, fleet & 0xFFFFFFFF, zlib.crc32(bare), *fields) + tail
 
@@ -64,10 +80,17 @@
     mark, version, its, check, kind, number, target, sender, count = HEAD.unpack_from(data)
     if (mark, version, its) != (MARK, VERSION, fleet & 0xFFFFFFFF):
         return None
-    if len(data) != HEAD.size + count * ITEM.size or kind >= len(Kind):
+    size = REPORT.size if kind == Kind.REPORT else ITEM.size
+    if kind >= len(Kind) or len(data) != HEAD.size + count * size:
         return None
     if zlib.crc32(data[:6] + bytes(4) + data[10:]) != check:
         return None
+    if kind == Kind.REPORT:
+        rows = list(REPORT.iter_unpack(data[HEAD.size :]))
+        if any(sign >= len(Sign) for _, _, sign, _, _ in rows):
+            return None
+        reports = [Report(s, Sign(sign), by, AGE_MS * age, n) for s, by, sign, age, n in rows]
+        return Word(Kind.REPORT, sender, number, target, [], reports)
     items = []
     for about, state, high, low, by in ITEM.iter_unpack(data[HEAD.size :]):
         if state >= len(State):
--- a/hitchtiller/ops/members.py
+++ b/hitchtiller/ops/members.py
@@ -12,6 +12,7 @@
 from hitchtiller.engine import Engine
 from hitchtiller.log import logger
 from hitchtiller.membership.detector import Datagrams, Detector
+from hitchtiller.membership.evidence import Sign
 from hitchtiller.membership.homes import Homes
 from hitchtiller.membership.partition import Partition, Standing
 from hitchtiller.membership.shares import preferred_share
@@ -24,6 +25,7 @@
 TICKS = 4  # a period
 HEARD_PERIODS = 5.0  # without a datagram from anybody: nobody is heard
 ANSWERS = ("done", "enoent", "busy", "err")  # ends of attempts that only a server's answer has
+SOUND, TRUST, OUT_MOST = 0.2, 0.6, 12_000.0  # blame of one that answers; of one that others saw sick
 CACHE_MS, BUS_MS = 5_000.0, 3_000.0  # without one, or without a frame of the bus, which comes each second
 
 
@@ -44,6 +46,7 @@
         self.view.ears.append(self.changed)
         self.homes, self.partition = Homes(size), Partition()
         self.changes: Counter[str] = Counter()
+        self.outs: dict[int, float] = {}  # servers that I leave out, by mark, until when
         self.serving, self.present = set(range(size)), 1.0  # who is in service, and their share of all
         peers.words = self.receive
         engine.router.present = lambda: self.present
@@ -61,6 +64,8 @@
             self.sched.sleep(self.period_ms / TICKS)
             self.post(self.detector.tick(now_ms()))
             self.look()
+            self.witness()
+            self.post(self.detector.report(now_ms()))
 
     def receive(self, sender: int, data: bytes) -> bool:
         """Take a datagram; True if it was a word, and no note on objects."""
@@ -92,6 +97,27 @@
         if new is not old:
             logger.info("standing {} was {} missing={}", new.name, old.name, sorted(missing))
 
+    def witness(self) -> None:
+        """Say which servers I leave out, hear which answer, and leave out what enough others saw sick."""
+        now, router, evidence = now_ms(), self.engine.router, self.detector.evidence
+        marks = {zlib.crc32(name.encode()): node for name, node in router.nodes.items()}
+        for mark, node in marks.items():
+            if now < node.out_until:
+                if self.outs.get(mark) != node.out_until:  # once for each time that it is left out
+                    sign = Sign.REFUSED if node.refused_ms > now - OUT_MOST else Sign.SILENT
+                    evidence.saw(mark, sign, now)
+            elif node.blame < SOUND and now - node.answered_ms < self.period_ms:
+                evidence.hears(mark, node.answered_ms)
+        for node in (marks[mark] for mark in evidence.verdicts(now) if mark in marks):
+            if now >= node.out_until and not self.engine.busy:
+                router.now, router.acts = now, []
+                router.blame(node, TRUST)
+                for action in router.acts:
+                    self.engine.act(action)
+                if now < node.out_until:
+                    logger.info("server {} left out on the word of others", node.m.server)
+        self.outs = {mark: node.out_until for mark, node in marks.items() if now < node.out_until}
+
     def changed(self, change: Change) -> None:
         """Log a change with who said so, and follow it where it is preference."""
         self.changes[change.new.state.name] += 1
--- a/standins/load.py
+++ b/standins/load.py
@@ -22,8 +22,11 @@
 class Load:
     """So many requests a second to each gateway, from `start` to `stop`."""
 
-    def __init__(self, fleet: "Fleet", each_per_s: float, objects: int = OBJECTS) -> None:
-        """Prepare."""
+    def __init__(
+        self, fleet: "Fleet", each_per_s: float, objects: int = OBJECTS, numbers: list[int] | None = None
+    ) -> None:
+        """Prepare; all gateways are asked, or those of `numbers`."""
+        self.numbers = numbers if numbers is not None else list(range(fleet.size))
         self.fleet, self.pause_s, self.objects = fleet, 1.0 / each_per_s, objects
         self.rng = random.Random(fleet.rng.getrandbits(32))
         self.terminals: dict[Process, Terminal] = {}
@@ -37,7 +40,7 @@
         """Begin."""
         self.on = True
         self.fleet.leavers.append(self.leave)
-        self.tasks = [asyncio.create_task(self._stream(n)) for n in range(self.fleet.size)]
+        self.tasks = [asyncio.create_task(self._stream(n)) for n in self.numbers]
 
     async def stop(self) -> None:
         """End, once all that is open has its answer."""
@@ -50,7 +53,7 @@
 
     async def until(self, answers: int, among: list[int] | None = None) -> None:
         """Wait until each of the gateways has given so many answers more."""
-        numbers = among if among is not None else sorted(self.fleet.running)
+        numbers = among if among is not None else [n for n in self.numbers if n in self.fleet.running]
         before = dict(self.answered)
         async with asyncio.timeout(60.0):
             while any(self.answered[n] - before.get(n, 0) < answers for n in numbers):
--- a/tests/fleet/test_fleet_faults.py
+++ b/tests/fleet/test_fleet_faults.py
@@ -184,3 +184,42 @@
         assert ended == []
 
     play(Fleet(3, 28), story)
+
+
+async def left_out(fleet: Fleet, number: int, text: str, patience_s: float = 20.0) -> None:
+    """Wait for a line of a gateway's log."""
+    async with asyncio.timeout(patience_s):
+        while not any(text in line for line in fleet.running[number].lines):
+            await asyncio.sleep(0.02)
+
+
+def test_a_silent_cache_is_left_out_on_the_word_of_others_by_one_that_never_asked_it() -> None:
+    async def story(fleet: Fleet) -> None:
+        asking = [0, 1, 2]
+        load = Load(fleet, 30.0, numbers=asking)
+        load.start()
+        await load.until(10, among=asking)
+        await fleet.wire(Way.SILENT, [0, 1, 2, 3], [name(1)])
+        before = fleet.watch.reached.get((3, name(1)), 0)
+        await left_out(fleet, 3, f"server {name(1)} left out on the word of others")
+        assert fleet.watch.reached.get((3, name(1)), 0) == before == 0, "it asked for nothing itself"
+        assert not any(f"left out {name(1)}, 2" in line for line in fleet.running[3].lines)
+        await fleet.wire(Way.PASS, [0, 1, 2, 3])
+        await load.stop()
+
+    play(Fleet(4, 29), story)
+
+
+def test_one_that_is_cut_from_a_cache_alone_persuades_nobody() -> None:
+    async def story(fleet: Fleet) -> None:
+        load = Load(fleet, 30.0)
+        load.start()
+        await load.until(10)
+        await fleet.wire(Way.SILENT, [0], [name(1)])
+        await left_out(fleet, 0, f"left out {name(1)}")
+        await load.until(60)  # some 2 s in which its word travels
+        assert not any("on the word of others" in line for p in fleet.running.values() for line in p.lines)
+        await fleet.wire(Way.PASS, [0])
+        await load.stop()
+
+    play(Fleet(4, 30), story)
--- /dev/null
+++ b/tests/membership/test_membership_evidence.py
@@ -0,0 +1,99 @@
+"""Word on servers: who counts as a witness, what an own answer outweighs, and how far word travels."""
+
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hitchtiller.membership.evidence import KEEP_MS, NEEDED, TIMES, WITNESSES, Evidence, Report, Sign
+from hitchtiller.membership.words import MOST, REPORTS, Kind, Word, pack, unpack
+
+SICK = 77
+
+
+def said(by: int, age_ms: float = 0.0, count: int = 1) -> Report:
+    return Report(SICK, Sign.SILENT, by, age_ms, count)
+
+
+def test_one_witness_repeated_by_forty_is_one() -> None:
+    mine = Evidence(0)
+    for n in range(40):
+        mine.take([said(1, age_ms=10.0 * n)], 1_000.0 + n)
+    assert mine.witnesses(SICK, 1_100.0) == {1} and mine.verdicts(1_100.0) == []
+    mine.take([said(2)], 1_100.0)
+    assert mine.verdicts(1_100.0) == [SICK]
+    assert mine.verdicts(1_100.0) == [], "a verdict is given once"
+
+
+def test_my_own_answer_outweighs_what_was_said_before_it() -> None:
+    mine = Evidence(0)
+    mine.take([said(1), said(2)], 1_000.0)
+    mine.hears(SICK, 1_001.0)
+    assert mine.verdicts(1_002.0) == []
+    mine.take([said(1, count=2), said(2, count=2)], 1_500.0)
+    assert mine.verdicts(1_500.0) == [SICK], "what was seen after it counts"
+
+
+def test_what_i_saw_myself_is_told_and_is_no_witness_for_me() -> None:
+    mine = Evidence(0)
+    mine.saw(SICK, Sign.REFUSED, 1_000.0)
+    mine.take([said(1)], 1_000.0)
+    assert mine.witnesses(SICK, 1_000.0) == {1}
+    told = next(r for r in mine.tell(1_200.0, 9) if r.by == 0)
+    assert told.sign is Sign.REFUSED and told.age_ms == 200.0
+    echo = Evidence(1)
+    echo.take([told], 9_000.0)  # another clock
+    assert echo.witnesses(SICK, 9_000.0) == {0}
+    mine.take([told], 1_300.0)  # my own word comes back
+    assert mine.witnesses(SICK, 1_300.0) == {1}
+
+
+def test_old_word_changes_nothing_and_is_forgotten() -> None:
+    mine = Evidence(0)
+    mine.take([said(1, age_ms=KEEP_MS)], 1_000.0)
+    assert mine.reports == {}
+    mine.take([said(1), said(2)], 1_000.0)
+    assert mine.verdicts(1_000.0 + KEEP_MS) == [] and mine.reports == {}
+
+
+def test_tables_and_tellings_are_bounded() -> None:
+    mine = Evidence(0)
+    for by in range(1, 200):
+        mine.take([said(by)], 1_000.0)
+    assert len(mine.reports[SICK]) == WITNESSES
+    told = 0
+    while some := mine.tell(1_000.0, REPORTS):
+        told += len(some)
+    assert told == WITNESSES * TIMES
+
+
+@given(st.lists(st.tuples(st.integers(1, 5), st.integers(1, 4)), max_size=12), st.randoms())
+def test_witnesses_are_the_same_in_any_order_and_however_often_told(
+    words: list[tuple[int, int]], rng: Random
+) -> None:
+    one, other = Evidence(0), Evidence(0)
+    few = [said(by, count=count) for by, count in words if by <= WITNESSES]
+    one.take(few, 1_000.0)
+    again = few * 2
+    rng.shuffle(again)
+    other.take(again, 1_000.0)
+    assert one.witnesses(SICK, 1_001.0) == other.witnesses(SICK, 1_001.0)
+    assert one.verdicts(1_001.0) == ([SICK] if len({r.by for r in few}) >= NEEDED else [])
+
+
+@given(
+    st.lists(
+        st.builds(
+            Report, st.integers(0, 2**32 - 1), st.sampled_from(Sign), st.integers(0, 999),
+            st.integers(0, 200).map(lambda n: 25.0 * n), st.integers(1, 255),
+        ),
+        max_size=40,
+    )
+)  # fmt: skip
+def test_reports_read_back_and_fit_a_datagram(reports: list[Report]) -> None:
+    data = pack(Word(Kind.REPORT, 3, 9, reports=reports), 7)
+    assert len(data) <= MOST
+    read = unpack(data, 7)
+    assert read and read.reports == reports[:REPORTS] and read.items == []
+    assert unpack(data[:-1], 7) is None
+    assert unpack(data, 8) is None
