--- a/standins/detect.py
+++ b/standins/detect.py
@@ -14,6 +14,7 @@
 import json
 import sys
 from dataclasses import asdict, dataclass, field
+from pathlib import Path
 from statistics import median
 
 from hitchtiller.membership.view import State
@@ -144,8 +145,14 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--plot", default="")
     parser.add_argument("--json", action="store_true")
+    parser.add_argument("--read", nargs="*", default=[], help="figures of runs with --json, instead of a run")
     args = parser.parse_args()
     found = []
+    for file in args.read:
+        found += [Figures(**json.loads(line)) for line in Path(file).read_text().splitlines()]
+    if found:
+        print(HEAD, *(one.row() for one in found), sep="\n")
+        return plot(found, args.plot) if args.plot else None
     if not args.json:
         print(HEAD)
     for loss in map(float, args.loss.split(",")):
