--- a/hitchtiller/ops/members.py
+++ b/hitchtiller/ops/members.py
@@ -10,6 +10,7 @@
 
 from hitchtiller.bus import BusLink
 from hitchtiller.engine import Engine
+from hitchtiller.interface import PeerNote
 from hitchtiller.log import logger
 from hitchtiller.membership.detector import Datagrams, Detector
 from hitchtiller.membership.evidence import Sign
@@ -46,6 +47,7 @@
         self.view.ears.append(self.changed)
         self.homes, self.partition = Homes(size), Partition()
         self.changes: Counter[str] = Counter()
+        self.handed = 0  # directory entries told to a new home
         self.outs: dict[int, float] = {}  # servers that I leave out, by mark, until when
         self.serving, self.present = set(range(size)), 1.0  # who is in service, and their share of all
         peers.words = self.receive
@@ -55,6 +57,7 @@
         for name, state in levels.items():
             engine.stats.levels[name] = lambda state=state: len(self.view.states(state))  # type: ignore[misc]
         engine.stats.levels["members_standing"] = lambda: int(self.partition.standing)
+        engine.stats.counts["members_entries_handed"] = lambda: self.handed
         engine.stats.counts["members_words_sent"] = lambda: self.detector.sent
         engine.stats.counts["members_words_dropped"] = lambda: self.detector.dropped
 
@@ -137,14 +140,30 @@
         """Give my standing."""
         return self.partition.standing
 
+    def hand_over(self, before: set[int], after: set[int], to: int = -1) -> None:
+        """Tell new homes of the directory entries that I held and they hold from now on."""
+        router, handed = self.engine.router, 0
+        for item, home in self.homes.moved(router.slice, before, after, to):
+            group, holders = router.slice[item]
+            name, told = next(reversed(holders.items()), ("", 0.0))
+            if told > router.purged(item[0], group) and home != self.me:
+                handed += 1
+                self.peers.tell(home, PeerNote("kept", *item, name, max(0, group)))
+        if handed:
+            self.handed += handed
+            logger.info("handed {} directory entries over", handed)
+
     def follow(self) -> None:
         """Follow the view with what is preference: homes, and the crowd that others make."""
-        self.serving = set(self.view.in_service())
+        before, self.serving = self.serving, set(self.view.in_service())
+        for number in self.serving - before:
+            self.hand_over(before, self.serving, number)
         self.present = 1.0 / preferred_share(self.serving, self.me) / len(self.view.claims)
 
     def leave(self) -> None:
-        """Tell a few that I leave by plan."""
+        """Hand my directory entries over, and tell a few that I leave by plan."""
         if not self.view.superseded:
+            self.hand_over(self.serving, self.serving - {self.me})
             self.post(self.detector.leave(now_ms()))
 
     # Calls
--- a/standins/detect.py
+++ b/standins/detect.py
@@ -130,7 +130,7 @@
         right.plot([f.size for f in line], [f.bytes for f in line], marker="o", label=f"{loss:.0%} lost")
     for axes, name in ((left, "datagrams"), (right, "bytes")):
         axes.set(xscale="log", xlabel="gateways", ylabel=f"{name} a gateway and period", ylim=(0, None))
-        axes.legend()
+        axes.legend(loc="upper left")
     figure.tight_layout()
     figure.savefig(file, dpi=110)
 
--- a/tests/fleet/test_fleet_faults.py
+++ b/tests/fleet/test_fleet_faults.py
@@ -223,3 +223,22 @@
         await load.stop()
 
     play(Fleet(4, 30), story)
+
+
+def test_one_that_leaves_by_plan_hands_its_directory_entries_over() -> None:
+    async def story(fleet: Fleet) -> None:
+        load = Load(fleet, 40.0, objects=60)
+        load.start()
+        await load.until(80)
+        leaver = fleet.running[0]
+        assert await fleet.end(0, signal.SIGTERM) == 0
+        assert any("directory entries over" in line for line in leaver.lines)
+        await fleet.until({0: {"LEFT"}})
+        await fleet.launch(0)
+        await left_out(fleet, 1, "directory entries over")  # what 0 is home of again
+        await load.stop()
+
+    fleet = Fleet(3, 32)
+    for setup in fleet.setups.values():
+        setup["family_info"]["peers_fill"] = "location"
+    play(fleet, story)
