A process that wakes sends nothing before it has heard the bus

Cause: on waking it served what clients asked in the same turns in which it found its bus link silent and opened another; release() in decide.py judges by the list it holds, which was 6 s old.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -123,6 +123,7 @@
     folder = shared(os.environ.get("TMPDIR", ""))
     holdouts = HoldOuts(folder, engine.news, config.settings.origin_kind)
     bus = BusLink(sched, holdouts.news, config.bus, (config.zones, config.kinds))
+    engine.behind = bus.behind
     front = Front(sched, engine, config.settings, clients, room(config.memory_mb, two=False))
 
     calls = Calls(front, holdouts, engine.stats)
--- a/hitchtiller/bus.py
+++ b/hitchtiller/bus.py
@@ -12,6 +12,7 @@
 CONNECT_MS = 400.0
 SILENT_MS = 1_800.0  # a frame comes each second; without a whole one the link is dead
 AGAIN_MS = 100.0
+BEHIND_MS = 1_500.0  # a frame comes each second, and a link may have to be opened first
 AWAY_MS = 2_000.0  # from the start, until which a bus that is away keeps the gateway from being ready
 
 
@@ -34,6 +35,15 @@
         self.heard_ms = -math.inf  # when its last whole frame came
         self.heard: Callable[[], None] | None = None  # called when there is nothing more to tell
 
+    def behind(self) -> bool:
+        """Tell whether this process did not run for a while and has not heard the bus since.
+
+        Drains and purges may have been told meanwhile. A bus that is away keeps nothing back for longer than
+        BEHIND_MS.
+        """
+        woke = self.sched.woke_ms
+        return woke > self.heard_ms and now_ms() - woke < BEHIND_MS
+
     def followed(self, whole: bool) -> bool:
         """Tell whether the bus is followed; with `whole`, whether it has told all that there was."""
         # guards against staying out of service for a bus that is away: what the file knows is of the start
--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -90,6 +90,7 @@
         self.events: deque[api.Event] = deque()
         self.busy = False
         self.copies: Copies | None = None
+        self.behind: Callable[[], bool] = bool  # tells whether news may have been missed
         self.purge_ears: list[Callable[[Ban], object]] = []
         self.ended_one: Callable[[Exchange, Answer], None] | None = None  # hears of each final answer
         self.stats = Stats(router.s.classes)
@@ -281,7 +282,7 @@
     def clear(self, attempt: Attempt) -> Clearance | None:
         """Ask the decisions again at the first byte: drains and purges may have come since."""
         now = self.clock.now_ms()
-        if attempt.ended or attempt.exchange.over:
+        if attempt.ended or attempt.exchange.over or self.behind():
             return None
         try:
             cap = self.router.release(attempt.get.id, attempt.shot, now)
--- a/hitchtiller/sched.py
+++ b/hitchtiller/sched.py
@@ -17,6 +17,7 @@
 
 CHUNK = 65_536  # bytes asked of a socket at once
 GATHER = 16  # buffers handed to one sendmsg
+STALL_MS = 300.0  # between two turns: sweeps alone come oftener, so the process did not run
 READ = select.POLLIN
 WRITE = select.POLLOUT
 
@@ -61,6 +62,7 @@
         self.stopped = False
         self.seen_ms = self.arrival_ms = now_ms()
         self.lag_ms = 0.0  # longest turn of the loop since it was last read
+        self.woke_ms = 0.0  # when it last went on after a time in which it did not run
         self.signalled: deque[Callable[[], object]] = deque()  # calls of signals not yet begun
         self.polling = False  # the loop is in poll, or about to be: a signal has to break it
 
@@ -197,6 +199,8 @@
         # what has come since the last look may be that old, unless poll had to wait for it: deadlines of
         # requests that lay unread in a busy turn are counted from here
         seen, self.seen_ms = self.seen_ms, now_ms()
+        if seen and self.seen_ms - seen > STALL_MS:
+            self.woke_ms = self.seen_ms
         self.arrival_ms = self.seen_ms if begun - asked > 0.001 else seen
         for fd, mask in found:
             failed = mask & ~(READ | WRITE)
--- a/tests/fleet/test_fleet_faults.py
+++ b/tests/fleet/test_fleet_faults.py
@@ -242,3 +242,25 @@
     for setup in fleet.setups.values():
         setup["family_info"]["peers_fill"] = "location"
     play(fleet, story)
+
+
+def test_one_that_wakes_sends_nothing_before_it_has_heard_what_was_told_meanwhile() -> None:
+    """It sent to a cache 5.6 s after its drain had been told: found by schedule 2, 1 run in 30."""
+
+    async def story(fleet: Fleet) -> None:
+        load = Load(fleet, 60.0)
+        load.start()
+        await load.until(20)
+        fleet.poke(0, signal.SIGSTOP)
+        await fleet.wire(Way.SILENT, [0], [BUS])  # so that its requests come before the news, as they may
+        fleet.tell(0, health="Terminating")
+        fleet.watch.told(0, fleet.buses[0].hosts[0])
+        await fleet.until({0: GONE}, among=[1, 2])
+        fleet.poke(0, signal.SIGCONT)
+        await load.until(20, among=[0])
+        await fleet.wire(Way.PASS, [0], [BUS])
+        await load.until(40)
+        await load.stop()
+        assert load.served[0] > 40
+
+    play(Fleet(3, 33), story)
--- a/tests/test_sched.py
+++ b/tests/test_sched.py
@@ -4,7 +4,8 @@
 import time
 import unittest
 
-from hitchtiller.sched import Closed, Scheduler, Stream
+from hitchtiller.bus import BEHIND_MS, BusLink
+from hitchtiller.sched import STALL_MS, Closed, Scheduler, Stream, now_ms
 
 
 class Turns(unittest.TestCase):
@@ -90,3 +91,30 @@
         self.sched.spawn(read)
         self.until(1)
         self.assertEqual(self.got, ["silent"])
+
+
+class Stalls(unittest.TestCase):
+    def test_a_time_in_which_the_process_did_not_run_is_seen_and_the_first_turn_is_none(self) -> None:
+        sched = Scheduler()
+        sched.later(1.0, lambda: None)
+        sched.turn()
+        self.assertEqual(sched.woke_ms, 0.0)
+        sched.seen_ms -= STALL_MS / 2
+        sched.later(1.0, lambda: None)
+        sched.turn()
+        self.assertEqual(sched.woke_ms, 0.0)
+        sched.seen_ms -= STALL_MS + 1.0
+        sched.later(1.0, lambda: None)
+        sched.turn()
+        self.assertEqual(sched.woke_ms, sched.seen_ms)
+
+    def test_news_are_behind_until_the_bus_is_heard_and_not_for_long(self) -> None:
+        sched = Scheduler()
+        bus = BusLink(sched, lambda event: None, ("127.0.0.1", 1), ((), ()))
+        self.assertFalse(bus.behind())
+        sched.woke_ms = now_ms()
+        self.assertTrue(bus.behind())
+        bus.heard_ms = sched.woke_ms + 1.0
+        self.assertFalse(bus.behind())
+        bus.heard_ms, sched.woke_ms = 0.0, now_ms() - BEHIND_MS - 1.0
+        self.assertFalse(bus.behind(), "a bus that is away keeps nothing back")
