--- a/tests/fleet/test_fleet_faults.py
+++ b/tests/fleet/test_fleet_faults.py
@@ -245,7 +245,7 @@
 
 
 def test_one_that_wakes_sends_nothing_before_it_has_heard_what_was_told_meanwhile() -> None:
-    """It sent to a cache 5.6 s after its drain had been told: found by schedule 2, 1 run in 30."""
+    """It sent to a cache 5.6 s after its drain had been told: found by schedule 2, 1 of 5 plays."""
 
     async def story(fleet: Fleet) -> None:
         load = Load(fleet, 60.0)
