--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -13,7 +13,7 @@
 import signal
 import sys
 import tempfile
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -279,3 +279,22 @@
         for relay in self.wires.values():
             relay.close()
         self.fabric.close()
+
+
+def tell(fleet: Fleet, story: Callable[[Fleet], Awaitable[None]]) -> Fleet:
+    """Start a fleet, wait until it is whole, tell a story of faults, ask all, end, and judge it all."""
+
+    async def run() -> None:
+        try:
+            await fleet.start()
+            await fleet.until({n: {"ALIVE"} for n in range(fleet.size) if n not in fleet.old})
+            await story(fleet)
+            await fleet.ask_all()
+        finally:
+            await fleet.finish()
+
+    asyncio.run(run())
+    broken = fleet.faults + fleet.verdicts.wrong + fleet.watch.broken + fleet.truth.twice
+    assert broken == [], broken
+    assert fleet.verdicts.counts["served"] >= 5, "a fleet that serves nothing breaks nothing"
+    return fleet
