--- a/tests/fleet/test_fleet_faults.py
+++ b/tests/fleet/test_fleet_faults.py
@@ -245,3 +245,23 @@
         assert load.served[0] > 40
 
     tell(Fleet(3, 33), story)
+
+
+def test_datagrams_of_random_bytes_are_dropped_and_counted() -> None:
+    async def story(fleet: Fleet) -> None:
+        load = Load(fleet, 20.0)
+        load.start()
+        for _ in range(40):
+            for (_sender, to), sock in fleet.fabric.socks.items():
+                junk = fleet.rng.randbytes(fleet.rng.randint(1, 300))
+                sock.sendto(fleet.rng.choice((junk, b"\xa7" + junk)), fleet.fabric.home[to])
+            await asyncio.sleep(0.01)
+        await load.until(20)
+        await load.stop()
+        for process in fleet.running.values():
+            lines = [line for line in await process.call("show-stat") if "members_words_dropped" in line]
+            assert int(lines[0].partition(":")[2].partition("|")[0]) > 20
+        assert await fleet.running[0].members() == {n: "ALIVE" for n in range(3)}
+        assert fleet.called_dead() == set()
+
+    tell(Fleet(3, 34), story)
