Counts of servers long gone are forgotten with their reports

Cause, seen on reading the change again: saw() in evidence.py kept a count for each server ever left out, for the life of the process. They go with the last report or answer; whoever heard them has forgotten them by then too. The test fails without the mend (501 counts).

--- a/hitchtiller/membership/evidence.py
+++ b/hitchtiller/membership/evidence.py
@@ -113,6 +113,8 @@
         for table in (self.answered, self.judged):
             for server in [s for s, at in table.items() if now_ms - at >= KEEP_MS]:
                 del table[server]
+        known = {**self.reports, **self.answered}  # others have forgotten my reports on the rest by now too
+        self.counts = {server: count for server, count in self.counts.items() if server in known}
         return found
 
     def tell(self, now_ms: float, most: int) -> list[Report]:
--- a/tests/membership/test_membership_evidence.py
+++ b/tests/membership/test_membership_evidence.py
@@ -97,3 +97,12 @@
     assert read and read.reports == reports[:REPORTS] and read.items == []
     assert unpack(data[:-1], 7) is None
     assert unpack(data, 8) is None
+
+
+def test_counts_of_servers_that_are_gone_do_not_pile_up() -> None:
+    mine = Evidence(0)
+    for server in range(500):  # caches that were replaced, each seen sick once
+        mine.saw(server, Sign.SILENT, 1_000.0)
+    mine.saw(SICK, Sign.SILENT, 1_000.0 + KEEP_MS)
+    mine.verdicts(1_000.0 + KEEP_MS)
+    assert set(mine.counts) == {SICK} and mine.counts[SICK] == 2
