With no descriptor left the bus, links and listener come back; no owed client makes room

Seen, by reading and then by test: `BusLink.run` opened its socket outside its `try`, so one failed `socket()` ended the subscription for good; `Link.__init__` raised inside the decision's action (`Pool.submit` under `Engine.act`), which failed the request and left its attempt without an end; `Front._accept_all` made the client outside any guard; `Front.make_room` took any client with `closing` set for idle, also with a request open on it or an answer unsent.

Ruled out: that the shares of descriptors alone (`descriptors` in `__main__.py`) prevent it. They hold for what we count; the process may still be short, as two versions side by side or a platform's own are.

Change: the bus logs `no-descriptor` and asks again after its usual pause; `Upstreams.open` gives nothing, so that the attempt ends as `skipped`, which proves that nothing ran; a client that can't be taken is closed; idle clients make room first, then those whose last answer is out.

--- a/hitchtiller/back/upstreams.py
+++ b/hitchtiller/back/upstreams.py
@@ -6,6 +6,7 @@
 from hitchtiller.back.jobs import Job, Meter, Pull
 from hitchtiller.back.link import Link
 from hitchtiller.exchange import Attempt
+from hitchtiller.log import ended
 from hitchtiller.news import Listed, Topology
 from hitchtiller.sched import Scheduler, now_ms
 
@@ -95,10 +96,14 @@
                     link.check(now)
             last = now
 
-    def open(self, pool: Pool) -> Link:
-        """Start a connection."""
+    def open(self, pool: Pool) -> Link | None:
+        """Start a connection; None if the process has no descriptor left for it."""
         host = pool.host
-        link = Link(self.sched, host.member.server, host.address, self.times, self.streams, pool.ended)
+        try:
+            link = Link(self.sched, host.member.server, host.address, self.times, self.streams, pool.ended)
+        except OSError as error:
+            ended("server", host.member.server, "no-descriptor", error.strerror or "")
+            return None
         pool.links.append(link)
         self.count += 1
         self.opened += 1
--- a/hitchtiller/bus.py
+++ b/hitchtiller/bus.py
@@ -70,7 +70,12 @@
         """Subscribe for ever."""
         while True:
             address, last = self.address, self.last
-            self.stream = stream = Stream(self.sched, socket.socket())
+            try:
+                self.stream = stream = Stream(self.sched, socket.socket())
+            except OSError as error:  # no descriptor left: one of a client's may be free in a moment
+                ended("bus", f"{address[0]}:{address[1]}", "no-descriptor", error.strerror or "")
+                self.sched.sleep(AGAIN_MS)
+                continue
             try:
                 stream.connect(address, CONNECT_MS)
                 stream.write(self.last.to_bytes(8, "big"))
--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -130,6 +130,10 @@
         """Tell whether nothing is owed on it, and nothing has come that was not read."""
         return not (self.open or self.stream.size or self.stream.code) and not self.stream.waiting()
 
+    def answered(self) -> bool:
+        """Tell whether it is being closed and nothing is owed on it any more."""
+        return bool(self.closing) and not (self.open or self.stream.size)
+
     def _frame(self, frame: frames.Frame, arrived: float) -> None:
         if frame.kind == frames.REQUEST:
             self._request(frame, arrived)
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -99,13 +99,17 @@
                     client.stream.close(code)
 
     def make_room(self) -> bool:
-        """Close the client idle longest, those that never asked first; False if none is idle."""
+        """Close the client idle longest, those that never asked first; False if none can be spared.
+
+        One that is being closed and has had its last answer goes only where none is idle: what it has sent
+        since lies unread, and a close over it may take that answer along.
+        """
         order = sorted(self.clients, key=lambda client: (client.asked, client.seen_ms))
-        idle = next((client for client in order if client.closing or client.idle()), None)
-        if idle:
-            idle.stream.close("full")
-            self.clients.discard(idle)
-        return idle is not None
+        spare = next((c for c in order if c.idle()), None) or next((c for c in order if c.answered()), None)
+        if spare:
+            spare.stream.close("full")
+            self.clients.discard(spare)
+        return spare is not None
 
     def _accept(self) -> None:
         while self.listener.fileno() >= 0:
@@ -130,6 +134,10 @@
                 sock.close()
                 ended("client", peer, "full")
                 continue
-            client = Client(self, Stream(self.sched, sock), peer)
+            try:
+                client = Client(self, Stream(self.sched, sock), peer)
+            except OSError:  # it left meanwhile: that must not end the listener for good
+                sock.close()
+                continue
             self.clients.add(client)
             self.sched.spawn(client.run)
--- /dev/null
+++ b/tests/ends/test_ends_descriptors.py
@@ -0,0 +1,174 @@
+"""No descriptor left: the bus, the links and the listener come back by themselves, and nobody is cut off."""
+
+import os
+import resource
+import socket
+import time
+import unittest
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+from unittest import mock
+
+from conftest import BASE
+
+from hitchtiller.back.upstreams import Upstreams
+from hitchtiller.bus import BusLink
+from hitchtiller.exchange import Exchange
+from hitchtiller.front.client import Client
+from hitchtiller.front.server import Front
+from hitchtiller.interface import Member
+from hitchtiller.news import Listed, Topology
+from hitchtiller.sched import Scheduler, Stream
+
+PATIENCE_S = 5.0
+
+
+@contextmanager
+def no_descriptors() -> Iterator[None]:
+    """Let the process open nothing more: its limit is the lowest free number."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    free = os.dup(0)
+    os.close(free)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (free, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def run_until(sched: Scheduler, done: Callable[[], bool]) -> bool:
+    """Turn the loop until something holds; False if it does not come to hold."""
+    end = time.monotonic() + PATIENCE_S
+    while time.monotonic() < end:
+        if done():
+            return True
+        sched.later(1.0, lambda: None)
+        sched.turn()
+    return False
+
+
+class Job:
+    """Something to write that tells how it ended."""
+
+    name, due_ms, moves = b"1", 1e18, 0
+
+    def __init__(self) -> None:
+        self.ends: list[str] = []
+
+    def command(self) -> bytes:
+        return b"*1\r\n$1\r\nx\r\n"
+
+    def sent(self) -> None:
+        """Count nothing."""
+
+    def broken(self, status: str) -> None:
+        self.ends.append(status)
+
+
+class NoDescriptor(unittest.TestCase):
+    def setUp(self) -> None:
+        self.sched = Scheduler()
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.server.setblocking(False)
+        self.addCleanup(self.server.close)
+        self.address = ("127.0.0.1", int(self.server.getsockname()[1]))
+
+    def accepted(self) -> bool:
+        try:
+            self.addCleanup(self.server.accept()[0].close)
+        except BlockingIOError:
+            return False
+        return True
+
+    def test_the_subscription_comes_back_by_itself(self) -> None:
+        """`socket.socket()` stood outside the try: the greenlet ended, and no drain was heard again."""
+        bus = BusLink(self.sched, lambda event: None, self.address, ((), ()))
+        with no_descriptors():
+            self.sched.spawn(bus.run)
+            self.sched.turn()
+        self.assertTrue(run_until(self.sched, self.accepted))
+        assert bus.stream
+        bus.stream.close("end")
+
+    def test_a_request_for_which_no_connection_opens_was_never_sent(self) -> None:
+        """The fault was raised inside the decision's action: the request failed, its attempt never ended."""
+        back = Upstreams(self.sched, (400.0, 1000.0), 4, 8)
+        back.follow(Topology((Listed(Member("s", "z", "k", "SERVING"), self.address),), True))
+        job: Any = Job()
+        with no_descriptors():
+            back.pools["s"].submit(job)
+        self.assertEqual(job.ends, ["skipped"], "which proves that nothing ran")
+        self.assertEqual(back.count, 0)
+        again: Any = Job()
+        back.pools["s"].submit(again)
+        self.addCleanup(back.pools["s"].close, "end")
+        self.assertTrue(run_until(self.sched, self.accepted), "the pool opens again")
+
+    def test_the_listener_outlives_a_client_that_left_while_it_was_taken(self) -> None:
+        engine: Any = None
+        front = Front(self.sched, engine, BASE, 4, 1000)
+        address = front.listen(("127.0.0.1", 0))
+        self.addCleanup(front.listener.close)
+        with mock.patch("hitchtiller.front.server.Stream", side_effect=OSError):
+            first = socket.create_connection(address)
+            self.addCleanup(first.close)
+            first.setblocking(False)
+
+            def ended() -> bool:
+                try:
+                    return first.recv(1) == b""
+                except BlockingIOError:
+                    return False
+
+            self.assertTrue(run_until(self.sched, ended))
+        second = socket.create_connection(address)
+        self.addCleanup(second.close)
+        self.assertTrue(run_until(self.sched, lambda: len(front.clients) == 1))
+
+
+class Room(unittest.TestCase):
+    """Who makes room where clients hold all that they may."""
+
+    def setUp(self) -> None:
+        engine: Any = None
+        self.sched = Scheduler()
+        self.front = Front(self.sched, engine, BASE, 2, 1000)
+        self.addCleanup(self.front.listener.close)
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.server.close)
+
+    def client(self) -> tuple[Client, socket.socket]:
+        other = socket.create_connection(self.server.getsockname())
+        self.addCleanup(other.close)
+        client = Client(self.front, Stream(self.sched, self.server.accept()[0]), "peer")
+        self.addCleanup(client.stream.close, "end")
+        client.asked = True
+        self.front.clients.add(client)
+        return client, other
+
+    def test_one_that_waits_for_its_last_answer_is_not_turned_out(self) -> None:
+        """`closing` alone counted as idle: its open request was lost with the connection."""
+        client, _ = self.client()
+        exchange: Any = mock.Mock(spec=Exchange)
+        client.open[1] = exchange
+        client.close_when_done("half")
+        self.assertFalse(self.front.make_room())
+        self.assertEqual(client.stream.code, "")
+
+    def test_one_whose_answer_has_not_gone_out_is_not_turned_out(self) -> None:
+        client, _ = self.client()
+        client.stream.write(bytes(8_000_000))
+        client.closing = "half"
+        self.assertFalse(self.front.make_room())
+
+    def test_an_idle_one_goes_before_one_whose_last_answer_is_under_way(self) -> None:
+        lingering, other = self.client()
+        lingering.seen_ms -= 10_000.0
+        lingering.close_when_done("half")
+        other.sendall(b"late")
+        idle, _ = self.client()
+        self.assertTrue(self.front.make_room())
+        self.assertEqual((lingering.stream.code, idle.stream.code), ("", "full"))
+        self.assertTrue(self.front.make_room(), "but with none idle it makes room all the same")
+        self.assertEqual(lingering.stream.code, "full")
