Clients that have gone are seen through jams; a stop closes connections in order

Seen, by reading, then by tests on real sockets with the crossing forced: - `Client.run` read nothing while more than a megabyte waited unsent (up to 5 s): neither the end of the stream nor type 9 was seen, and attempts went on. LEAVE_MS was 3.3 s though the kill may come at the longest deadline plus 0.7 s.

Change: requests wait beside the connection while it is jammed, 32 at most, and are taken once it drains; a client past that ends as `flood`. Where the loop lags (20 ms) the client's end is looked for before its requests are taken, and links let the loop look once before a command goes. A stop closes each connection once nothing is owed on it and nothing lies unread: shutdown, 0.1 s of reading and dropping, close. Its times derive from the settings' longest deadline.

Tests: tests/ends/test_ends_clients.py, test_ends_shutdown.py. Seen to fail: on the code before, or with the mend taken out (outright close: ConnectionResetError; backpressure loop back in: four fail; no look for settled connections: two fail; short deadlines: exit after 2.4 s where the kill may come at 1.2 s).

--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -170,12 +170,18 @@
             raise Closed("spoiled")
 
     def _write(self) -> None:
+        looked = False
         while not self.stream.code and not self.spoiled:
             full = len(self.open) >= self.streams
             if not self.pending or (full and not isinstance(self.pending[0], bytes)):
                 self.writer = getcurrent()
                 self.sched.park()
                 continue
+            if not looked and self.sched.lags():
+                self.sched.look()  # guards clients that have gone: in a busy turn that is not known yet
+                looked = True
+                continue
+            looked = False
             job = self.pending.popleft()
             data = job if isinstance(job, bytes) else self._begin(job)
             if data is not None:
--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -8,19 +8,21 @@
 from hitchtiller.exchange import FAILED, REFUSED, Answer, Exchange
 from hitchtiller.front.asks import BadAsk, read_ask, write_answer
 from hitchtiller.log import ended
-from hitchtiller.sched import Closed, Stream, now_ms
+from hitchtiller.sched import LAGS_MS, Closed, Stream, now_ms
 
 if TYPE_CHECKING:
     from hitchtiller.front.server import Front
 
 MOST_OPEN = 32  # requests on one connection
 MOST_HOLES = 64  # stream numbers passed over that may still come
-PAUSE_AT = 1_000_000  # bytes that a client has not taken, from which nothing more is read of it
+UNSENT = 1_000_000  # bytes that a client has not taken, from which its requests wait: backpressure
+MOST_EXCESS = 32  # requests past MOST_OPEN that are refused before their sender is taken for a flood
 AT_ONCE = 16  # frames of one connection in a turn: hundreds at once must not hold up the others
 OWED_MS = 2_200.0  # for a first whole frame, or the rest of one
 GROWTH, WHOLE_MS = 32, 6_000.0  # bytes with which that begins anew; until when all of a frame has to be here
 QUIET_MS = 200.0  # without a word, from which a connection is let go: requests may cross frame 3
 PROBE_MS = 1_000.0  # the front's probes come ten times a second, and may keep theirs
+LOOK_MS = 20.0
 LINGER_MS = 1_500.0  # what is unread at a close is read and dropped for so long
 
 
@@ -52,7 +54,10 @@
         self.front, self.stream, self.peer = front, stream, peer
         self.open: dict[int, Exchange] = {}
         self.numbers = Numbers()
+        self.waiting: dict[int, tuple[frames.Frame, float]] = {}  # requests that came while UNSENT was over
+        self.excess = 0  # requests refused since one was last taken, for want of room on the connection
         self.closing = ""  # a reason to close once all in hand is answered
+        self.deaf = False  # what comes is dropped: no frame can be told apart, or no answer can be written
         self.taken = 0
         self.asked = False  # a whole frame has come
         self.told = False  # that no new request may come
@@ -60,7 +65,7 @@
         self.arrived_ms = self.seen_ms = now_ms()  # when one came last
         self.owed_ms: float | None = self.seen_ms  # since when the client owes the rest of a frame
         self.half_ms, self.half = self.seen_ms, 0  # when that frame began, and what was here at `owed_ms`
-        self.until_ms = math.inf  # the end of a close that lingers
+        self.linger_ms, self.until_ms = LINGER_MS, math.inf  # how long a close lingers, and until when
 
     def run(self) -> None:
         """Serve until the connection ends."""
@@ -71,21 +76,23 @@
                 data = self.stream.read()
                 if fresh:  # else it lay there before the last look: deadlines count from the one before
                     self.arrived_ms = self.front.sched.arrival_ms
-                if not self.closing:  # nothing can be read after what was no frame
+                # guards clients that have gone: the end may lie behind what they asked for in a busy turn
+                if now_ms() - self.arrived_ms > LAGS_MS and self.stream.drained and self.stream.at_end():
+                    raise Closed("eof")
+                if not self.deaf:
                     self._take(reader, data)
-                if self.closing:
+                if self.deaf:
                     self.stream.keep(0)
                     self.front.sched.sleep(2.0)  # guards the loop against senders of 60 MB at full speed
                 elif not self.stream.drained:
                     self.front.sched.pause()
-                while self.stream.size > PAUSE_AT and not self.stream.code:
-                    self.front.sched.sleep(20.0)  # backpressure; Front.sweep ends it for good
         except Closed as error:
             self.stream.close(self.closing or str(error))
         finally:
             self.stream.close("fault")
             self.front.gone(self)
             ended("client", self.peer, self.stream.code, taken=self.taken, open=len(self.open))
+            self.waiting.clear()
             exchanges, self.open = list(self.open.values()), {}
             for exchange in exchanges:
                 self.front.engine.leave(exchange)
@@ -100,11 +107,13 @@
                     self.front.sched.pause()
                 if self.stream.code:
                     raise Closed(self.stream.code)
+                if self.deaf:
+                    return
         except frames.BadFrame:
             reader.buffer.clear()
             self.refuse_all("bad-frame")
         half = len(reader.buffer)
-        self.stream.keep(half)
+        self.stream.keep(half + sum(len(frame.payload) for frame, _ in self.waiting.values()))
         if half and self.owed_ms is None:
             self.half_ms = begun
         # guards requests in pieces: those that took longer than the 2.2 s were cut, though they grew
@@ -113,7 +122,11 @@
 
     def refuse_all(self, code: str) -> None:
         """End a connection that can't be read on: tell so, and end all that is open on it at once."""
+        self.deaf = True
         self._say(0, Answer(FAILED))
+        for stream in list(self.waiting):
+            self._say(stream, Answer(FAILED))
+        self.waiting.clear()
         for exchange in list(self.open.values()):
             self.front.engine.fail(exchange)
         self.close_when_done(code)
@@ -128,26 +141,62 @@
 
     def idle(self) -> bool:
         """Tell whether nothing is owed on it, and nothing has come that was not read."""
-        return not (self.open or self.stream.size or self.stream.code) and not self.stream.waiting()
+        return not (self.owes() or self.closing or self.stream.code) and not self.stream.waiting()
+
+    def owes(self) -> bool:
+        """Tell whether an answer is owed on it, or has not gone out."""
+        return bool(self.open or self.waiting or self.stream.size)
 
     def answered(self) -> bool:
         """Tell whether it is being closed and nothing is owed on it any more."""
-        return bool(self.closing) and not (self.open or self.stream.size)
+        return bool(self.closing) and not self.owes()
 
     def _frame(self, frame: frames.Frame, arrived: float) -> None:
         if frame.kind == frames.REQUEST:
-            self._request(frame, arrived)
+            if self.stream.size <= UNSENT and not self.waiting:
+                self._request(frame, arrived)
+            elif len(self.waiting) < MOST_OPEN and frame.stream not in self.waiting:
+                if not self.waiting:
+                    self.front.sched.spawn(self._take_waiting)
+                self.waiting[frame.stream] = (frame, arrived)
+            else:
+                self._flood()
         elif frame.kind == frames.GIVE_UP:
+            self.waiting.pop(frame.stream, None)
             if exchange := self.open.pop(frame.stream, None):
                 self.front.engine.leave(exchange)
         elif frame.kind == frames.READY:
             self.probed_ms = now_ms()
+            if self.stream.size > UNSENT:
+                return self._flood()
             code = frames.REFUSED if self.front.told() else frames.SERVED
             payload = bytes([code]) + frames.write_fields({})
             self.stream.write(frames.head(frames.READY_ANSWER, frame.stream, len(payload)) + payload)
         else:
             raise frames.BadFrame(f"type {frame.kind}")
 
+    def _flood(self) -> None:
+        """End a client that asks on and on for what it does not take, or for more than it may."""
+        if not self.deaf:
+            self.refuse_all("flood")
+
+    def _take_waiting(self) -> None:
+        """Take the requests that wait once the client has taken its answers.
+
+        Meanwhile the connection is read on: a client that gives up, or leaves, is seen at once.
+        """
+        while self.waiting and not self.stream.code:
+            if self.stream.size > UNSENT:
+                self.front.sched.sleep(LOOK_MS)
+                continue
+            frame, arrived = self.waiting.pop(next(iter(self.waiting)))
+            try:
+                self._request(frame, arrived)
+            except frames.BadFrame:
+                self.refuse_all("bad-frame")
+        if not self.stream.code:
+            self._close_if_done()
+
     def _request(self, frame: frames.Frame, arrived: float) -> None:
         stream = frame.stream
         if stream in self.open:  # guards against two answers under one number
@@ -165,7 +214,11 @@
             self._say(stream, Answer(FAILED))
             return
         self.taken += 1
-        if len(self.open) >= MOST_OPEN or not self.front.takes(arrived):
+        full = len(self.open) >= MOST_OPEN
+        self.excess = self.excess + 1 if full else 0
+        if self.excess > MOST_EXCESS:
+            return self._flood()
+        if full or self.closing or not self.front.takes(arrived):
             stats.end(ask.class_name, REFUSED)
             self._say(stream, Answer(REFUSED, wait_ms=self.front.settings.max_retry_after_ms))
             return
@@ -189,17 +242,23 @@
             self.stream.write(frames.head(frames.GOING, 0, 0))
 
     def settled(self, now: float, last: bool) -> bool:
-        """Tell whether it may be closed in a drain: nothing open, nothing unread, no word for a while."""
+        """Tell whether it may be closed when all leave: nothing open, nothing unread, no word for a while."""
         if not self.idle() or now - self.probed_ms <= PROBE_MS:
             return False
         return last or (not self.stream.kept and now - self.seen_ms > QUIET_MS)
 
-    def close_when_done(self, code: str) -> None:
+    def close_when_done(self, code: str, linger_ms: float = LINGER_MS) -> None:
         """Close after the answers in hand: those requests were taken and must not be lost."""
-        self.closing = self.closing or code
+        self.closing, self.linger_ms = self.closing or code, linger_ms
         self._close_if_done()
 
     def _close_if_done(self) -> None:
-        if self.closing and not self.open:
-            self.until_ms = min(self.until_ms, now_ms() + LINGER_MS)
-            self.stream.finish()  # guards against a reset for unread bytes, which would lose the reply
+        """Shut writing down and read on for a while, dropping what comes.
+
+        Guards against a reset for unread bytes, which would take the last answer along. From here on no
+        answer can be written, so what is read is no request of ours: its client sends it again elsewhere.
+        """
+        if self.closing and not (self.open or self.waiting):
+            self.deaf = True
+            self.until_ms = min(self.until_ms, now_ms() + self.linger_ms)
+            self.stream.finish()
--- a/hitchtiller/front/leave.py
+++ b/hitchtiller/front/leave.py
@@ -11,8 +11,10 @@
 SERVING, DRAINED, HANDING, STOPPING = "serving", "drained", "handed over to the next version", "stopping"
 ACCEPT_MS = 450.0  # after the word to go, connections may come for 0.4 s
 REQUESTS_MS = 350.0  # and on open ones requests for 0.2 s more
-LEAVE_MS = 3_300.0  # after SIGTERM all is answered: the program may be killed from 3.7 s on
-LAST_MS = 250.0  # for the last answers to go out
+# PROTOCOL, figures: it may be killed so long after SIGTERM, on top of the longest deadline up to MOST_MS
+KILL_MS, MOST_MS = 700.0, 3_000.0
+LAST_MS, SAFE_MS = 250.0, 150.0  # for the last answers to go out, and from the exit to the kill
+CROSS_MS = 100.0  # what crosses a close for so long is dropped: its client sends it again elsewhere
 LATE_MS, LAST_CALL_MS = 1_500.0, 2_500.0  # in a drain: requests are refused, and their connections closed
 LOOK_MS = 50.0
 STAY_MS = 1_000.0  # after handing over: the next version may end in its first moments
@@ -95,7 +97,8 @@
         if front.state == STOPPING:
             return
         alone = front.state != HANDING
-        front.state, leave_ms = STOPPING, now_ms() + LEAVE_MS
+        begun = now_ms()
+        front.state = STOPPING
         logger.info("told to stop")
         if alone:
             self.sched.sleep(ACCEPT_MS)
@@ -103,23 +106,41 @@
         for client in list(front.clients):
             client.going()
         self.sched.sleep(REQUESTS_MS)
-        while self._busy() and now_ms() < leave_ms:
+        answer_ms, exit_ms = self._times(begun)
+        while front.clients and now_ms() < answer_ms:
+            self._close_settled()
             self.sched.sleep(10.0)
         front.refusing = True  # whatever still comes is refused at once
-        for exchange in [exchange for client in front.clients for exchange in client.open.values()]:
-            front.engine.fail(exchange)  # guards against a kill while a request has no answer
-        self.sched.sleep(10.0)
-        while any(client.stream.size for client in front.clients) and now_ms() < leave_ms + LAST_MS:
+        for client in list(front.clients):
+            for exchange in list(client.open.values()):
+                front.engine.fail(exchange)  # guards against a kill while a request has no answer
+        while front.clients and now_ms() < exit_ms:
+            self._close_settled(last=True)
             self.sched.sleep(10.0)
         self._end("stop")
 
+    def _times(self, begun: float) -> tuple[float, float]:
+        """Give until when answers are waited for, and when the program is gone: before it may be killed."""
+        longest = max((cls.deadline_ms for cls in self.front.settings.classes.values()), default=MOST_MS)
+        kill = begun + min(longest, MOST_MS) + KILL_MS
+        return kill - LAST_MS - SAFE_MS, kill - SAFE_MS
+
+    def _close_settled(self, last: bool = False) -> None:
+        """Close each connection on which nothing is owed; `last`: also where half a request has come.
+
+        What has come unread is read first. Between that look and the shutdown nothing else runs; what comes
+        after it is dropped, and the close waits a little for it.
+        """
+        now = now_ms()
+        for client in list(self.front.clients):
+            if client.closing:
+                if client.overdue(now):
+                    client.stream.close(client.closing)
+            elif client.idle() and (last or not client.stream.kept):
+                client.close_when_done("stop", CROSS_MS)
+
     def _end(self, code: str) -> None:
         for client in list(self.front.clients):
             client.stream.close(code)
         self.sched.sleep(10.0)
         self.sched.stopped = True
-
-    def _busy(self) -> bool:
-        """Tell whether answers are owed; guards requests in pieces too, which were cut in their middle."""
-        clients = self.front.clients
-        return any(client.open or client.stream.size or client.stream.kept for client in clients)
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -93,9 +93,9 @@
             if client.stream.size and now - client.stream.progress_ms > SLOW_MS:
                 client.stream.close("slow")
             elif code := client.overdue(now):
-                if client.open:
+                if client.owes() and not client.closing:
                     client.close_when_done(code)
-                else:
+                elif client.closing or not client.stream.waiting():  # else what it owed comes just now
                     client.stream.close(code)
 
     def make_room(self) -> bool:
--- a/hitchtiller/sched.py
+++ b/hitchtiller/sched.py
@@ -18,6 +18,7 @@
 CHUNK = 65_536  # bytes asked of a socket at once
 GATHER = 16  # buffers handed to one sendmsg
 STALL_MS = 300.0  # between two turns: sweeps alone come oftener, so the process did not run
+LAGS_MS = 20.0  # since the last look, from which what has come meanwhile is read before anything is sent
 READ = select.POLLIN
 WRITE = select.POLLOUT
 
@@ -105,6 +106,15 @@
         self.wake(getcurrent())
         self.park()
 
+    def lags(self) -> bool:
+        """Tell whether much may have come that was not looked for yet."""
+        return now_ms() - self.seen_ms > LAGS_MS
+
+    def look(self) -> None:
+        """Let the loop look once more, and those run for whom something has come."""
+        self.pause()
+        self.pause()
+
     def sleep(self, delay_ms: float) -> None:
         """Park for a while."""
         me = getcurrent()
@@ -339,6 +349,13 @@
             return not isinstance(error, BlockingIOError)
         return True
 
+    def at_end(self) -> bool:
+        """Tell whether nothing is left to read but the end: the other side has closed, or broken off."""
+        try:
+            return not self.code and not self.sock.recv(1, socket.MSG_PEEK)
+        except OSError as error:
+            return not isinstance(error, BlockingIOError)
+
     def discard(self) -> None:
         """Drop what has not been sent: nothing sensible can be written after it."""
         self.out.clear()
--- /dev/null
+++ b/tests/ends/sides.py
@@ -0,0 +1,131 @@
+"""A front on real sockets in a loop that a test steps, with an engine that only notes what it is given."""
+
+import socket
+import time
+import unittest
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from conftest import BASE
+
+from hitchtiller.codec import frames
+from hitchtiller.engine import Engine
+from hitchtiller.exchange import SERVED, Answer, Ask, Exchange
+from hitchtiller.front.client import Client
+from hitchtiller.front.server import Front
+from hitchtiller.ops.stats import Stats
+from hitchtiller.sched import Scheduler
+
+PATIENCE_S = 5.0
+
+
+def run_until(sched: Scheduler, done: Callable[[], bool]) -> bool:
+    """Turn the loop until something holds; False if it does not come to hold."""
+    end = time.monotonic() + PATIENCE_S
+    while time.monotonic() < end:
+        if done():
+            return True
+        sched.later(1.0, lambda: None)
+        sched.turn()
+    return False
+
+
+def request(stream: int, **fields: str) -> bytes:
+    """Write a request."""
+    base = {"c": "small", "i": f"{stream:016x}", "d": "2000", "o": f"{42:016x}", "m": "10", "lot": "3"}
+    payload = frames.write_fields(base | fields)
+    return frames.head(frames.REQUEST, stream, len(payload)) + payload
+
+
+class NotingEngine:
+    """Notes requests taken, and those whose clients have gone; a test answers."""
+
+    def __init__(self) -> None:
+        self.stats = Stats(dict(BASE.classes))
+        self.open: dict[int, Exchange] = {}
+        self.taken: list[str] = []
+        self.left: list[str] = []
+
+    def has(self, id: str) -> bool:
+        return False
+
+    def take(self, ask: Ask, deliver: Callable[[Answer], None]) -> Exchange:
+        exchange = Exchange(len(self.taken), ask, deliver)
+        self.taken.append(ask.id)
+        self.open[exchange.number] = exchange
+        return exchange
+
+    def leave(self, exchange: Exchange) -> None:
+        if exchange.close():
+            self.left.append(exchange.ask.id)
+
+    def fail(self, exchange: Exchange) -> None:
+        exchange.finish(Answer("failed"))
+
+    def answer(self, number: int, body: bytes = b"") -> None:
+        """Serve a request, by the order in which they were taken."""
+        self.open[number].finish(Answer(SERVED, body))
+
+
+class FrontCase(unittest.TestCase):
+    """One front with one client."""
+
+    def setUp(self) -> None:
+        self.sched, self.engine = Scheduler(), NotingEngine()
+        stand_in: Any = self.engine
+        assert not isinstance(stand_in, Engine)
+        self.front = Front(self.sched, stand_in, replace(BASE), 8, 50_000_000)
+        self.address = self.front.listen(("127.0.0.1", 0))
+        self.addCleanup(self.front.listener.close)
+        self.other = self.connect()
+        self.client = self.last_client()
+
+    def connect(self) -> socket.socket:
+        before = len(self.front.clients)
+        other = socket.create_connection(self.address)
+        other.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        other.settimeout(PATIENCE_S)
+        self.addCleanup(other.close)
+        self.assertTrue(run_until(self.sched, lambda: len(self.front.clients) > before))
+        return other
+
+    def last_client(self) -> Client:
+        client = max(self.front.clients, key=lambda client: client.arrived_ms)
+        self.addCleanup(client.stream.close, "end")
+        return client
+
+    def until(self, done: Callable[[], bool], why: str = "") -> None:
+        self.assertTrue(run_until(self.sched, done), why)
+
+    def ask(self, stream: int, **fields: str) -> int:
+        """Ask, until it is taken; gives its number in the order of taking."""
+        number = len(self.engine.taken)
+        self.other.sendall(request(stream, **fields))
+        self.until(lambda: len(self.engine.taken) > number)
+        return number
+
+    def jam(self) -> None:
+        """Let more answers wait on the connection than its client takes."""
+        self.engine.answer(self.ask(1), bytes(16_000_000))
+        self.assertGreater(self.client.stream.size, 1_000_000)
+        self.other.sendall(frames.head(frames.GIVE_UP, 1, 0))  # of what is over: one more word is read
+        seen = self.client.seen_ms
+        self.until(lambda: self.client.seen_ms > seen)
+        self.sched.turn()
+
+    def everything(self) -> bytes:
+        """Read until the gateway's end of the connection; a reset fails."""
+        self.other.setblocking(False)
+        got = bytearray()
+
+        def ended() -> bool:
+            try:
+                while data := self.other.recv(1_000_000):
+                    got.extend(data)
+            except BlockingIOError:
+                return False
+            return True
+
+        self.until(ended, "the connection does not end")
+        return bytes(got)
--- /dev/null
+++ b/tests/ends/test_ends_clients.py
@@ -0,0 +1,110 @@
+"""Clients that leave, cancel, flood or say half a word, each at the worst instant."""
+
+import contextlib
+import socket
+import time
+
+from sides import FrontCase, request
+
+from hitchtiller.codec import frames
+from hitchtiller.front.client import MOST_EXCESS, MOST_OPEN
+from hitchtiller.sched import now_ms
+
+
+def cancel(stream: int) -> bytes:
+    return frames.head(frames.GIVE_UP, stream, 0)
+
+
+class Gone(FrontCase):
+    def test_a_cancel_is_seen_while_the_connection_is_jammed(self) -> None:
+        """While a megabyte waited unsent nothing was read: attempts went on for up to 5 s."""
+        waits = self.ask(2)
+        self.jam()
+        self.other.sendall(cancel(2))
+        self.until(lambda: bool(self.engine.left), "the cancel lies unread")
+        self.assertEqual(self.engine.left, [self.engine.open[waits].ask.id])
+
+    def test_an_end_is_seen_while_the_connection_is_jammed(self) -> None:
+        self.ask(2)
+        self.jam()
+        self.other.shutdown(socket.SHUT_WR)
+        self.until(lambda: bool(self.engine.left), "the end lies unread")
+
+    def test_what_was_cancelled_while_it_waited_for_a_jam_is_never_begun(self) -> None:
+        self.jam()
+        self.other.sendall(request(2) + request(3) + cancel(2))
+        self.until(lambda: list(self.client.waiting) == [3])
+        self.other.setblocking(False)
+
+        def drained() -> bool:
+            with contextlib.suppress(BlockingIOError):
+                self.other.recv(1_000_000)
+            return len(self.engine.taken) == 2
+
+        self.until(drained, "what waited is taken once its client takes its answers")
+        self.assertEqual(self.engine.taken[1], f"{3:016x}")
+
+    def test_a_request_whose_client_left_behind_it_in_a_busy_turn_is_not_taken(self) -> None:
+        """The end lay behind the request: it was sent on, and the end seen one lagging turn later."""
+        self.sched.turn()
+        self.sched.spawn(time.sleep, 0.05)
+        self.other.sendall(request(1))
+        self.other.close()
+        self.until(lambda: bool(self.client.stream.code))
+        self.assertEqual((self.engine.taken, self.client.stream.code), ([], "eof"))
+
+    def test_one_that_gives_up_while_its_connection_is_to_end_is_heard(self) -> None:
+        """From the word to close on, nothing more was parsed: attempts for it went on to its deadline."""
+        self.ask(1)
+        self.client.close_when_done("half")
+        self.other.sendall(cancel(1))
+        self.until(lambda: bool(self.engine.left))
+
+    def test_requests_that_come_while_a_connection_is_to_end_are_refused_not_dropped(self) -> None:
+        number = self.ask(1)
+        self.client.close_when_done("half")
+        self.other.sendall(request(2))
+        self.until(lambda: self.engine.stats.total()["refused"] == 1)
+        self.engine.answer(number, b"x")
+        answers = [(f.stream, f.payload[0]) for f in frames.FrameReader().feed(self.everything())]
+        self.assertEqual(answers, [(2, frames.REFUSED), (1, frames.SERVED)])
+
+
+class Floods(FrontCase):
+    def test_one_that_asks_far_more_than_it_may_is_ended_and_others_are_not(self) -> None:
+        for stream in range(1, MOST_OPEN + 1):
+            self.other.sendall(request(stream))
+        self.until(lambda: len(self.engine.taken) == MOST_OPEN)
+        for stream in range(MOST_OPEN + 1, MOST_OPEN + MOST_EXCESS + 2):
+            self.other.sendall(request(stream))
+        self.until(lambda: self.client.closing == "flood")
+        self.assertEqual(self.client.open, {})
+        self.assertEqual(len(self.engine.taken), MOST_OPEN)
+        flooder = self.client
+        self.other.close()
+        self.until(lambda: bool(flooder.stream.code))
+        self.assertEqual(flooder.stream.code, "flood")
+        self.other = self.connect()
+        self.engine.answer(self.ask(1), b"x")
+
+    def test_one_that_asks_on_and_takes_nothing_is_ended_at_a_bound(self) -> None:
+        """Requests may wait for a jam to end, but no more of them than may be open."""
+        self.jam()
+        for stream in range(2, MOST_OPEN + 3):
+            self.other.sendall(request(stream))
+        self.until(lambda: self.client.closing == "flood")
+        self.assertEqual((len(self.engine.taken), self.client.waiting), (1, {}))
+
+
+class Half(FrontCase):
+    def test_the_rest_of_a_request_that_comes_in_the_instant_of_its_time_out_is_taken(self) -> None:
+        """The sweep closed over the unread rest: a whole request was taken along."""
+        data = request(1)
+        self.other.sendall(data[:20])
+        self.until(lambda: self.client.stream.kept > 0)
+        self.other.sendall(data[20:])  # it lies there unread: the loop has not turned
+        late = now_ms() + 10_000.0
+        self.assertEqual(self.client.overdue(late), "unasked")
+        self.front.sweep(late)
+        self.until(lambda: len(self.engine.taken) == 1)
+        self.engine.answer(0, b"x")
--- /dev/null
+++ b/tests/ends/test_ends_shutdown.py
@@ -0,0 +1,105 @@
+"""Leaving a gateway: what is owed at each instant until its process has gone."""
+
+import copy
+import json
+import time
+import unittest
+from unittest import mock
+
+from scenario import PATIENCE_S, Gateway
+from sides import FrontCase, request
+
+from hitchtiller.codec import frames
+from hitchtiller.front import leave as leave_module
+from hitchtiller.front.client import Client
+
+
+class Crossings(FrontCase):
+    """Stopping, with what crosses it forced to come between two steps."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        for name in ("ACCEPT_MS", "REQUESTS_MS"):
+            patch = mock.patch.object(leave_module, name, 5.0)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def frames_until_end(self) -> list[frames.Frame]:
+        return list(frames.FrameReader().feed(self.everything()))
+
+    def test_a_request_that_comes_after_the_last_look_is_dropped_and_the_last_answer_arrives(self) -> None:
+        """The close over unread bytes reset the connection and took the answer along."""
+        self.engine.answer(self.ask(1), b"last")
+        look = Client.idle
+
+        def crossed(client: Client) -> bool:
+            found = look(client)
+            if found:
+                self.other.sendall(request(2))  # after the look that found nothing, before the close
+            return found
+
+        with mock.patch.object(Client, "idle", crossed):
+            self.sched.spawn(self.front.leave.stop)
+            got = self.frames_until_end()
+        self.assertEqual([(f.kind, f.stream) for f in got], [(frames.ANSWER, 1), (frames.GOING, 0)])
+        self.assertEqual(len(self.engine.taken), 1, "what is read after the shutdown is never sent on")
+
+    def test_a_request_that_has_come_before_the_last_look_is_answered(self) -> None:
+        look = Client.idle
+
+        def crossed(client: Client) -> bool:
+            if not self.engine.taken and not client.stream.waiting():
+                self.other.sendall(request(1))  # it lies there unread when the look comes
+            return look(client)
+
+        with mock.patch.object(Client, "idle", crossed):
+            self.sched.spawn(self.front.leave.stop)
+            self.until(lambda: len(self.engine.taken) == 1)
+        self.engine.answer(0, b"x")
+        self.assertIn((frames.ANSWER, 1), [(f.kind, f.stream) for f in self.frames_until_end()])
+
+    def test_one_resting_connection_ends_while_another_still_waits(self) -> None:
+        """All were held until the last answer was out: some rest until the gateway ends them."""
+        self.engine.answer(self.ask(1), b"x")
+        rests, self.other = self.other, self.connect()
+        number = self.ask(1)
+        self.sched.spawn(self.front.leave.stop)
+        asking, self.other = self.other, rests
+        self.frames_until_end()
+        self.other = asking
+        self.engine.answer(number, b"x")
+        answers = [f for f in self.frames_until_end() if f.kind == frames.ANSWER]
+        self.assertEqual([(f.stream, f.payload[0]) for f in answers], [(1, frames.SERVED)])
+
+    def test_the_loop_ends_once_all_have_gone(self) -> None:
+        self.sched.spawn(self.front.leave.stop)
+        self.frames_until_end()
+        self.other.close()
+        self.until(lambda: self.sched.stopped)
+
+
+class ShortDeadlines(unittest.TestCase):
+    """A deployment whose longest deadline is 0.5 s: SIGKILL may come 1.2 s after SIGTERM."""
+
+    KILL_S = 1.2
+
+    def setUp(self) -> None:
+        self.gateway = Gateway()
+        self.addCleanup(self.gateway.stop)
+        config = copy.deepcopy(self.gateway.config)
+        for cls in config["settings"]["classes"]:
+            cls["deadline_ms"] = cls["aim_ms"] = 500.0
+        self.gateway.configure(json.dumps(config))
+        self.gateway.kill()
+        self.gateway.start()
+        self.gateway.expect_line("INFO n0 ready")
+
+    def test_half_a_request_does_not_hold_the_program_past_the_time_when_it_may_be_killed(self) -> None:
+        """It waited 3.3 s whatever the deadlines: what came whole in between was lost with the process."""
+        client = self.gateway.client()
+        self.addCleanup(client.close)
+        client.send(b"\0\0\1\0\7")
+        begun = time.monotonic()
+        self.gateway.terminate()
+        self.assertEqual(self.gateway.process.wait(PATIENCE_S), 0)
+        self.assertLess(time.monotonic() - begun, self.KILL_S)
