One request is never twice at a server; windows by key; cold budgets for any numbering

`Pool.submit` sends an id behind its KILL only where that connection takes new jobs (`keeps`), and it was in doubt. The same holds for a connection that we close. Change: such an id goes on a connection opened for it, which comes up after KILL or close have arrived; where the KILL can't even be written it ends as `skipped`.

Found by reading, each with a test that fails without its mend: - The window of a keyed effect was looked at when an attempt was decided, not at its first byte after a wait for a connection, and each request had a window of its own though a client's retry bears the same key. - A second answer that comes late (WAIT twice) was taken for the next attempt's of a class that may run once: proof that nothing ran, while it ran.

--- a/hitchtiller/back/jobs.py
+++ b/hitchtiller/back/jobs.py
@@ -35,6 +35,7 @@
     name: bytes
     due_ms: float  # when an answer should have come, once it is written
     moves: int  # how often it was handed on unwritten
+    repeatable: bool  # a late second answer under its name may be taken for its next one's
 
     def command(self) -> bytes | None:
         """Write it, at its first byte; None if it may not go any more."""
@@ -57,6 +58,7 @@
         self.attempt = attempt
         self.due_ms, self.moves = math.inf, 0
         self.name = attempt.exchange.ask.id.encode()
+        self.repeatable = attempt.exchange.ask.repeatable
 
     def command(self) -> bytes | None:
         """Write PULL, with what is settled only now: the wait and the oldest copy that will do."""
@@ -106,7 +108,8 @@
 
     def broken(self, status: str) -> None:
         """End it with the connection: refused, or reset once written (unwritten jobs go elsewhere)."""
-        self.attempt.end(Ending(status))
+        silent = status == "silent"
+        self.attempt.end(Ending("econnrefused" if silent else status, silent=silent))
 
 
 class Meter:
@@ -115,7 +118,7 @@
     def __init__(self, number: int, report: Callable[[str, dict[str, float]], None]) -> None:
         """Report to `report` once."""
         self.name = b"m%x" % number
-        self.due_ms, self.moves = math.inf, 0
+        self.due_ms, self.moves, self.repeatable = math.inf, 0, True
         self.report = report
 
     def command(self) -> bytes:
@@ -132,4 +135,4 @@
 
     def broken(self, status: str) -> None:
         """Report the connection's end."""
-        self.report(status, {})
+        self.report("econnrefused" if status == "silent" else status, {})
--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -13,8 +13,9 @@
 
 IDLE_SHARE = 0.7  # of the idle time after which servers close: closing first avoids a race with a send
 KILLED_MS = 6_000.0  # by then nothing of a killed request comes any more
+THEIRS = ("eof", "reset")  # ends that the server made
 DOUBT_MS, STUCK_MS = 200.0, 400.0  # without a byte while an answer is overdue: nothing new, then the end
-CUT_MS = 400.0  # without a byte in the middle of an answer
+CUT_MS, GROWTH = 400.0, 1_024  # in which an answer that has begun has to grow by so many bytes, or be whole
 
 
 class Link:
@@ -38,7 +39,10 @@
         self.waiting: set[bytes] = set()  # names in `pending`
         self.open: dict[bytes, Job] = {}
         self.killed: dict[bytes, float] = {}  # since when: their answers may still be under way
+        self.given_up: dict[bytes, float] = {}  # what was open when it was closed from here, since when
+        self.answered: dict[bytes, float] = {}  # effects, since when: a second answer may be under way
         self.reader = resp.RespReader()
+        self.grown_ms, self.grown = now_ms(), 0  # when an answer last grew by its due, and its bytes since
         self.heard_ms = self.used_ms = now_ms()
         self.doubtful = False
         self.junk = ""  # what could not be read
@@ -63,7 +67,8 @@
             return False
         if self.writing and now_ms() - self.writing[1] > self.connect_ms:
             return False  # guards against queueing behind a machine that takes nothing
-        return name not in self.open and name not in self.waiting  # else two answers under one name
+        # else two answers under one name, or the late second one of an effect taken for its next attempt's
+        return not (name in self.open or name in self.waiting or name in self.answered)
 
     def submit(self, job: Job) -> None:
         """Queue a job; it is written in its turn."""
@@ -79,9 +84,7 @@
             self.waiting.discard(name)
         elif self.open.get(name) is job:
             del self.open[name]
-            self.killed[name] = now = now_ms()
-            while (oldest := next(iter(self.killed))) and now - self.killed[oldest] > KILLED_MS:
-                del self.killed[oldest]  # guards against growth: a KILL is owed no answer
+            self._note(self.killed, name)
             if self.writing and self.writing[0] is job:
                 # half a command was written: nothing else can be, so no KILL and no new job
                 self.spoiled = True
@@ -96,6 +99,12 @@
             return False
         return True
 
+    def _note(self, names: dict[bytes, float], name: bytes) -> None:
+        """Note a name whose answer may still be under way; the old ones go, so that they can't grow."""
+        names[name] = now = now_ms()
+        while now - names[oldest := next(iter(names))] > KILLED_MS:
+            del names[oldest]
+
     def close(self, code: str) -> None:
         """End it."""
         self.stream.close(code)
@@ -129,7 +138,8 @@
         # guards against a connection on which answers stopped: all on it waited for their deadlines
         self.doubtful = late and quiet > DOUBT_MS
         taken = self.writing is None or now - self.writing[1] < 2.0 * self.connect_ms
-        if (self.reader.within and quiet > CUT_MS) or (late and quiet > STUCK_MS) or not taken:
+        cut = self.reader.within and now - self.grown_ms > CUT_MS
+        if cut or (late and quiet > STUCK_MS) or not taken:
             self.stream.close("stuck")
         elif not (self.open or self.waiting) and unused > self.idle_ms * IDLE_SHARE:
             self.stream.close("idle")
@@ -138,7 +148,11 @@
         while True:
             data = self.stream.read()
             self.heard_ms = now_ms()
+            self.grown += len(data)
+            if not self.reader.within or self.grown >= GROWTH:
+                self.grown_ms, self.grown = self.heard_ms, 0
             for items in self.reader.feed(data):
+                self.grown_ms, self.grown = self.heard_ms, 0
                 self._answer(items)
             self.stream.keep(len(self.reader.buffer))
 
@@ -150,6 +164,8 @@
             self.killed.pop(items[0], None)  # it crossed the KILL, or answers nothing of ours: dropped
             return
         self.done += 1
+        if not job.repeatable:
+            self._note(self.answered, job.name)
         if self.pending:
             self._wake()  # it may have waited for room
         try:
@@ -211,6 +227,8 @@
         """End what was written and hand back what was not: that can't have run."""
         ended("server", self.server, self.stream.code, self.junk, done=self.done, open=len(self.open))
         jobs, self.open = list(self.open.values()), {}
+        if self.stream.code not in THEIRS:  # else the server has ended them itself
+            self.given_up = dict.fromkeys((job.name for job in jobs), now_ms())
         self._wake()
         if self.up:
             self._hand_back()
@@ -220,6 +238,6 @@
             self.waiting.clear()
             self.on_close(self, [])
             for job in waiting:
-                job.broken("econnrefused")
+                job.broken("silent" if self.stream.code == "silent" else "econnrefused")
         for job in jobs:
             job.broken("etimedout" if self.stream.code == "stuck" else "econnreset")
--- a/hitchtiller/back/upstreams.py
+++ b/hitchtiller/back/upstreams.py
@@ -1,5 +1,6 @@
 """The pools of connections to all listed servers."""
 
+import math
 from collections.abc import Callable
 from itertools import count
 
@@ -10,6 +11,7 @@
 from hitchtiller.news import Listed, Topology
 from hitchtiller.sched import Scheduler, now_ms
 
+STUCK, UNDER_WAY = "stuck", "under way"  # word that an attempt was given up
 MOST_MOVES = 2  # connections that an unwritten job may see end
 FEW, MOST_LINKS = 3, 6  # attempts on one connection from which another opens, and how many of them
 SWEEP_MS = 100.0
@@ -22,17 +24,24 @@
         """Start without a connection."""
         self.owner, self.host = owner, host
         self.links: list[Link] = []
+        self.crossing: dict[bytes, float] = {}  # given up on connections that have ended, since when
         self.closed = False
 
     def submit(self, job: Job) -> None:
         """Put a job where few are, else open a connection beside them; in a crowd fill the first."""
         # an id that was given up goes where its KILL went: on another connection the new PULL may
-        # overtake the KILL, and the server then has one id twice
+        # overtake the KILL, and the server then has one id twice; the same holds for a connection's close.
+        # A connection that is opened only now comes up after either has arrived
         name, link, crowded = job.name, None, None
+        crosses = self._crosses(name)
+        if crosses == STUCK:
+            return job.broken("skipped")
         for each in self.links:
             if name in each.killed and each.keeps(name):
                 link = each
                 break
+            if crosses:
+                continue
             if link is None and each.up and len(each.open) + len(each.waiting) < FEW and each.room(name):
                 link = each
             elif crowded is None and each.room(name):
@@ -46,6 +55,15 @@
         else:
             link.submit(job)
 
+    def _crosses(self, name: bytes) -> str:
+        """Tell whether word that an attempt of this name was given up may still be under way, or not out."""
+        now, way_ms = now_ms(), self.owner.times[0]  # nothing is longer under way than a connection comes up
+        killing = [link for link in self.links if name in link.killed and not link.keeps(name)]
+        if any(link.stream.size for link in killing):
+            return STUCK
+        since = max([self.crossing.get(name, -math.inf), *(link.killed[name] for link in killing)])
+        return UNDER_WAY if now - since < way_ms else ""
+
     def _opens(self, needed: bool) -> bool:
         if self.closed or self.owner.count >= self.owner.most:
             return False
@@ -61,6 +79,9 @@
         if link.stream.code and link in self.links:  # a spoiled one may tell twice
             self.links.remove(link)
             self.owner.count -= 1
+            now, way_ms = now_ms(), self.owner.times[0]
+            given_up = {**self.crossing, **link.killed, **link.given_up}
+            self.crossing = {name: at for name, at in given_up.items() if now - at < way_ms}
         for job in unwritten:
             job.moves += 1
             if job.moves > MOST_MOVES:  # guards against a server that resets whatever is opened
--- a/hitchtiller/decide.py
+++ b/hitchtiller/decide.py
@@ -14,6 +14,7 @@
 from hitchtiller import interface as api
 from hitchtiller.records import Attempt, Held, Node, blend, mix, put
 from hitchtiller.routing.capacity import Capacity
+from hitchtiller.routing.cold import ColdGuard
 from hitchtiller.routing.sizes import Sizes
 
 # Ordinary path
@@ -25,9 +26,8 @@
 PEER_WAIT = 0.08  # share of the aim spent on waiting for home: latency or sibling fills
 AGAIN_MS = 500.0  # wait before a silent home router, or discovery, is asked again
 # Guards
-COLD_SAFETY, COLD_LOAD = 0.55, 0.8  # of a cold server's multiple, and of what it can do: falls or waste
 ORIGIN = 24  # fills straight from the origin at once, of all gateways together (one each at the least)
-MARGIN_MS, TURN = 100.0, 7919  # kept from the ends of windows: clocks and ways; a prime, spreads gateways
+MARGIN_MS = 100.0  # kept from the ends of windows: clocks and ways
 # Health
 BLAME = {"err": 0.25, "econnreset": 0.25, "econnrefused": 0.4, "busy": 0.2, "silence": 0.3, "slow": 0.15,
          "doubt": 0.1}  # an error that may be the request's own fault
@@ -77,9 +77,8 @@
         self.hub = settings.zones[settings.hub_of[zone]] if settings.hub_of else ""
         link = settings.link_kb_per_s[zone] if settings.link_kb_per_s else 0.0
         self.room = link / (settings.flow_kb_per_s or math.inf) or 8.0  # transfers on my zone's link
-        self.here = max(1, settings.gateways_in_zone[zone]) if settings.gateways_in_zone else 1
-        mine = settings.my_number - sum(settings.gateways_in_zone[:zone])  # numbered zone by zone, else -1
-        self.in_zone = mine if 0 <= mine < self.here and settings.gateways_in_zone else -1
+        self.cold = ColdGuard(settings)
+        self.here = self.cold.in_zone
 
     def handle(self, event: api.Event, now_ms: float) -> list[api.Action]:
         """Decide on one event; the actions are to be carried out in this order."""
@@ -120,22 +119,11 @@
 
     def cold_rate(self, node: Node) -> float:
         """Cold guard: work I may add a ms to a server that started lately, less the one attempt above it."""
-        s, parent = self.s, node.m.kind == self.s.parent_kind
-        ramp, share, multiple = s.cold_ms, s.cold_share, s.fall_multiple
-        if parent:
-            ramp, share, multiple = s.parent_cold_ms, s.parent_cold_share, s.parent_fall_multiple
         start = max(node.m.started_ms, node.refused_ms)  # a refusal: its process was gone, back cold
-        if node.m.kind == s.origin_kind or not start or self.now - start >= ramp:
+        if node.m.kind == self.s.origin_kind or not start:
             return math.inf
-        able = node.sure * (share + (1.0 - share) * max(0.0, self.now - start) / ramp)
-        bound, cost = COLD_SAFETY * able * multiple, max(self.mean.values()) / s.fall_ms
-        few = max(1, int(bound / cost / 2.0))  # gateways that may use it, by a one-to-one hash:
-        pool, mine = (s.group_size, s.my_number) if parent else (self.here, self.in_zone)  # one attempt of
-        if pool <= few or mine < 0:  # each in a large zone would push it over: all of 40 gave it nothing
-            return max(0.0, min(COLD_LOAD * able / max(1.0, pool * self.present()), bound / pool - cost))
-        if (mine * TURN + node.salt) % pool >= few:
-            return 0.0
-        return max(0.0, min(COLD_LOAD * able / few, bound / few - cost))
+        parent, mean = node.m.kind == self.s.parent_kind, max(self.mean.values())
+        return self.cold.rate(parent, self.now - start, node.sure, node.salt, mean, self.present())
 
     def admits(self, node: Node) -> bool:
         """Tell whether a cold server's debt is paid off, so that it may get one more."""
@@ -158,9 +146,13 @@
 
     def may_send(self, held: Held, node: Node) -> bool:
         """Deadline and effects guard: no send past the end, none that could repeat an effect."""
-        cls = held.cls
         if held.out or held.shots >= self.s.max_attempts or self.now >= held.ask.deadline_ms:
             return False
+        return self.may_repeat(held, node)
+
+    def may_repeat(self, held: Held, node: Node) -> bool:
+        """Effects guard, again at the first byte: the window counts from the first that may have run."""
+        cls = held.cls
         if held.ran is None or cls.effect == "repeatable":
             return True
         since, a, b = held.ran[0], held.ran[1].m, node.m
@@ -173,7 +165,7 @@
         if not held or not attempt or now_ms >= held.ask.deadline_ms:
             return None
         serving = attempt.node.m.state == "SERVING" and attempt.source.m.state == "SERVING"
-        return self.oldest(held, attempt.stage) if serving else None
+        return self.oldest(held, attempt.stage) if serving and self.may_repeat(held, attempt.node) else None
 
     def usable(self, node: Node) -> bool:
         """Tell whether a server may be picked: listed, not left out, or due for its single trial."""
@@ -407,7 +399,7 @@
             self.fault(attempt, "doubt")
         elif event.status in BLAME and not (event.status == "econnreset" and attempt.sent <= node.broke_ms):
             node.broke_ms = self.now if event.status == "econnreset" else node.broke_ms
-            if event.status == "econnrefused":  # its process is gone: back cold, maybe before the list tells
+            if event.status == "econnrefused" and not event.silent:  # its process is gone: back cold
                 node.refused_ms = self.now
             self.fault(attempt, event.status)
 
--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -7,11 +7,12 @@
 from typing import Protocol
 
 from hitchtiller import interface as api
-from hitchtiller.decide import Router
+from hitchtiller.decide import NEVER_RAN, Router
 from hitchtiller.exchange import FAILED, REFUSED, SERVED, Answer, Ask, Attempt, Clearance, Ending, Exchange
 from hitchtiller.log import logger
 from hitchtiller.news import Ban, Event, Topology
 from hitchtiller.ops.stats import Stats
+from hitchtiller.routing.effects import Effects
 
 
 class Timer(Protocol):
@@ -90,6 +91,7 @@
         self.events: deque[api.Event] = deque()
         self.busy = False
         self.copies: Copies | None = None
+        self.effects = Effects(router.s.classes)
         self.behind: Callable[[], bool] = bool  # tells whether news may have been missed
         self.purge_ears: list[Callable[[Ban], object]] = []
         self.ended_one: Callable[[Exchange, Answer], None] | None = None  # hears of each final answer
@@ -116,7 +118,9 @@
         exchange.taken_ms = self.clock.now_ms()
         delay = ask.deadline_ms - exchange.taken_ms
         exchange.guard = self.clock.later(delay, partial(self.expire, exchange)).cancel
-        if self.copies is None or not self.copies.take(exchange):
+        if self.effects.over(ask.class_name, ask.dedupe, exchange.taken_ms):
+            self.fail(exchange)  # an earlier try may have run, and a repeat would not be dropped any more
+        elif self.copies is None or not self.copies.take(exchange):
             self.decide(exchange)
         return exchange
 
@@ -171,6 +175,11 @@
         """Give the final answer, once."""
         if self.copies and answer.kind != SERVED:
             answer = self.copies.instead(exchange, answer)
+        ask = exchange.ask
+        if answer.kind == REFUSED and not self.effects.harmless(
+            ask.class_name, ask.dedupe, self.clock.now_ms()
+        ):
+            answer = Answer(FAILED)  # a refusal would say that trying again does no harm
         self._drop(exchange)
         if exchange.finish(answer):
             self.stats.end(exchange.ask.class_name, answer.kind)
@@ -281,17 +290,23 @@
 
     def clear(self, attempt: Attempt) -> Clearance | None:
         """Ask the decisions again at the first byte: drains and purges may have come since."""
-        now = self.clock.now_ms()
+        now, ask = self.clock.now_ms(), attempt.exchange.ask
         if attempt.ended or attempt.exchange.over or self.behind():
             return None
         try:
+            member = self.router.nodes[attempt.get.server].m
+            if not self.effects.may_begin(ask.class_name, ask.dedupe, member, now):
+                return None
             cap = self.router.release(attempt.get.id, attempt.shot, now)
         except Exception:  # noqa: BLE001  it would take a connection's other jobs along
             logger.exception("clearing an attempt failed")
             return None
         if cap is not None and self.copies:
             cap = self.copies.cap(attempt.exchange, cap, now)
-        return None if cap is None else Clearance(cap, attempt.exchange.ask.deadline_ms - now)
+        if cap is None:
+            return None
+        self.effects.begin(ask.class_name, ask.dedupe, member, now)
+        return Clearance(cap, ask.deadline_ms - now)
 
     def sent(self) -> None:
         """Count an attempt that was written whole."""
@@ -307,6 +322,8 @@
         """Take an attempt's end: the first served one is the answer."""
         exchange = attempt.exchange
         self.stats.tried(ending.status)
+        if attempt.written and ending.status in NEVER_RAN:
+            self.effects.never_ran(exchange.ask.class_name, exchange.ask.dedupe)
         if ending.status == "done" and self.copies:
             ending = self.copies.arrived(attempt, ending)
         if ending.status == "done" and not exchange.over:
@@ -322,6 +339,7 @@
                 closed=exchange.over,
                 note=ending.note,
                 waited_ms=ending.waited_ms,
+                silent=ending.silent,
                 whole=not ending.unchanged and not exchange.confirm,
                 load=ending.load,
             )
--- a/hitchtiller/exchange.py
+++ b/hitchtiller/exchange.py
@@ -26,6 +26,7 @@
     dedupe: str = ""
     have: str = ""  # tag of the copy that the client holds
     background: bool = False  # gives way to others
+    repeatable: bool = True  # its class may be repeated freely
     write: bool = False  # its class runs at the origin: the answer is no copy, and has neither tag nor time
 
 
@@ -53,6 +54,7 @@
     since_ms: int = 0  # when the origin gave out the copy; 0 where it is no copy
     note: int = 0  # as in api.Outcome: 1 hit, 2 filled ...; 0 where untold
     waited_ms: float = 0.0  # for the source's first byte, where told
+    silent: bool = False  # refused by silence: no connection came up, which tells nothing of the process
 
 
 @dataclass(slots=True)
--- a/hitchtiller/front/asks.py
+++ b/hitchtiller/front/asks.py
@@ -85,6 +85,7 @@
         body=body,
         dedupe=_text(fields, "k", TOKEN, needed=cls.effect == "by_key"),
         have=_text(fields, "ver", TOKEN, needed=False),
+        repeatable=cls.effect == "repeatable",
         write=cls.write,
     )
 
--- a/hitchtiller/interface.py
+++ b/hitchtiller/interface.py
@@ -126,6 +126,7 @@
     note: int = 0
     waited_ms: float = 0.0
     load: dict[str, float] = field(default_factory=dict)
+    silent: bool = False  # an econnrefused that came of silence: the process may well run
     whole: bool = True  # its bytes came; False where the client's copy was confirmed
 
 
--- /dev/null
+++ b/tests/ends/test_ends_links.py
@@ -0,0 +1,189 @@
+"""Connections to servers: what is given up, breaks off or never ends, and what must not cross it."""
+
+import socket
+import time
+import unittest
+from collections.abc import Callable
+
+from hitchtiller.back import link as link_module
+from hitchtiller.back.link import Link
+from hitchtiller.back.upstreams import Pool, Upstreams
+from hitchtiller.codec import resp
+from hitchtiller.interface import Member
+from hitchtiller.news import Listed, Topology
+from hitchtiller.sched import Scheduler, now_ms
+
+CONNECT_MS = 400.0
+PATIENCE_S = 5.0
+
+
+class Job:
+    """A command that tells how it ended."""
+
+    def __init__(self, name: bytes, repeatable: bool = True) -> None:
+        self.name, self.due_ms, self.moves, self.repeatable = name, 1e18, 0, repeatable
+        self.ends: list[str] = []
+
+    def command(self) -> bytes:
+        return resp.write_command(b"PULL", self.name, b"-", b"")
+
+    def sent(self) -> None:
+        """Count nothing."""
+
+    def answered(self, word: str, fields: dict[str, str], body: bytes) -> None:
+        if word not in ("DONE", "WAIT"):
+            raise resp.BadResp(word)
+        self.ends.append(word)
+
+    def broken(self, status: str) -> None:
+        self.ends.append(status)
+
+
+class LinkCase(unittest.TestCase):
+    """One server on a real socket, and the pool of connections to it."""
+
+    def setUp(self) -> None:
+        self.sched = Scheduler()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.back = Upstreams(self.sched, (CONNECT_MS, 15_000.0), 32, 64)
+        address = ("127.0.0.1", int(self.listener.getsockname()[1]))
+        self.back.follow(Topology((Listed(Member("s", "z", "k", "SERVING"), address),), True))
+        self.pool: Pool = self.back.pools["s"]
+        self.addCleanup(self.pool.close, "end")
+
+    def until(self, done: Callable[[], bool]) -> None:
+        end = time.monotonic() + PATIENCE_S
+        while not done():
+            self.assertLess(time.monotonic(), end, "it does not come to hold")
+            self.sched.later(1.0, lambda: None)
+            self.sched.turn()
+
+    def written(self, job: Job) -> tuple[Link, socket.socket]:
+        """Submit a job; give the connection that it was written on, and the server's end of it."""
+        before = len(self.pool.links)
+        self.pool.submit(job)
+        self.until(lambda: any(link.open.get(job.name) is job for link in self.pool.links))
+        (link,) = (link for link in self.pool.links if link.open.get(job.name) is job)
+        self.assertEqual(len(self.pool.links), before + 1)
+        server = self.listener.accept()[0]
+        server.settimeout(PATIENCE_S)
+        self.addCleanup(server.close)
+        return link, server
+
+
+class GivenUp(LinkCase):
+    def test_the_same_id_does_not_overtake_its_kill_on_another_connection(self) -> None:
+        """salas-remotas, herd+mass: KILL on one, and in the same ms the next PULL on another connection.
+
+        That connection was in doubt, so it took nothing new; the server had one id twice.
+        """
+        first = Job(b"a")
+        link, _ = self.written(first)
+        link.doubtful = True
+        spare, _ = self.written(Job(b"b"))
+        link.cancel(first)
+        again = Job(b"a")
+        fresh, _ = self.written(again)  # on one that comes up only now, after the KILL has arrived
+        self.assertNotIn(fresh, (link, spare))
+        fresh.cancel(again)
+        fresh.doubtful = True
+        spare.killed.clear()
+        for each in (link, fresh):
+            each.killed[b"a"] = now_ms() - CONNECT_MS - 1.0  # both KILLs have long arrived
+        later = Job(b"a")
+        self.pool.submit(later)
+        self.until(lambda: spare.open.get(b"a") is later)
+
+    def test_a_kill_that_can_not_be_written_does_not_count_as_arrived(self) -> None:
+        first = Job(b"a")
+        link, _ = self.written(first)
+        link.stream.write(bytes(8_000_000))  # a server that takes nothing
+        self.assertGreater(link.stream.size, 0)
+        link.doubtful = True
+        link.cancel(first)
+        link.killed[b"a"] = now_ms() - CONNECT_MS - 1.0
+        again = Job(b"a")
+        self.pool.submit(again)
+        self.assertEqual(again.ends, ["skipped"], "which proves that it never ran")
+
+    def test_the_same_id_does_not_overtake_the_close_of_its_connection(self) -> None:
+        first = Job(b"a")
+        link, _ = self.written(first)
+        link.doubtful = True
+        spare, _ = self.written(Job(b"b"))
+        link.close("junk")
+        self.until(lambda: first.ends == ["econnreset"])
+        fresh, _ = self.written(Job(b"a"))
+        self.assertIsNot(fresh, spare)
+
+    def test_what_the_server_itself_has_ended_may_go_again_at_once(self) -> None:
+        first = Job(b"a")
+        _, server = self.written(first)
+        server.close()
+        self.until(lambda: first.ends == ["econnreset"])
+        again = Job(b"a")
+        self.written(again)
+
+
+class Answers(LinkCase):
+    def test_an_answer_that_never_ends_is_cut_though_single_bytes_come(self) -> None:
+        """Each byte counted as a sign of life: all on the connection waited for their deadlines."""
+        job = Job(b"a")
+        link, server = self.written(job)
+        server.sendall(b"*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$100000\r\n")
+        self.until(lambda: link.reader.within)
+        link.grown_ms -= link_module.CUT_MS  # it has trickled for so long
+        heard = link.heard_ms
+        server.sendall(b"x")
+        self.until(lambda: link.heard_ms > heard)
+        link.check(link.heard_ms + 1.0)
+        self.assertEqual(link.stream.code, "stuck")
+
+    def test_an_answer_that_grows_is_not_cut(self) -> None:
+        job = Job(b"a")
+        link, server = self.written(job)
+        server.sendall(b"*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$100000\r\n")
+        self.until(lambda: link.reader.within)
+        link.grown_ms -= 10_000.0
+        server.sendall(bytes(link_module.GROWTH))
+        self.until(lambda: link.grown_ms > now_ms() - 1_000.0)
+        link.check(now_ms() + 0.5 * link_module.CUT_MS)
+        self.assertEqual(link.stream.code, "")
+
+    def test_a_second_answer_to_an_effect_meets_nobody(self) -> None:
+        first = Job(b"a", repeatable=False)
+        link, server = self.written(first)
+        wait = resp.write_command(b"a", b"WAIT", b"-")
+        server.sendall(wait)
+        self.until(lambda: first.ends == ["WAIT"])
+        again = Job(b"a", repeatable=False)
+        other, _ = self.written(again)
+        self.assertIsNot(other, link)
+        done = link.heard_ms
+        server.sendall(wait)
+        self.until(lambda: link.heard_ms > done)
+        self.assertEqual(again.ends, [])
+
+
+class Connects(LinkCase):
+    def test_silence_is_told_apart_from_a_refusal(self) -> None:
+        """A connection that came up late was taken for a process that had gone, and its cache for cold."""
+        refused, silent = Job(b"a"), Job(b"b")
+        self.listener.close()
+        self.pool.submit(refused)
+        self.until(lambda: bool(refused.ends))
+        self.assertEqual(refused.ends, ["econnrefused"])
+        full = socket.create_server(("127.0.0.1", 0), backlog=0)  # its queue is filled, so that none comes up
+        self.addCleanup(full.close)
+        fill = [socket.socket() for _ in range(3)]
+        for sock in fill:
+            self.addCleanup(sock.close)
+            sock.setblocking(False)
+            sock.connect_ex(full.getsockname())
+        self.back.times = (50.0, 15_000.0)
+        address = ("127.0.0.1", int(full.getsockname()[1]))
+        self.back.follow(Topology((Listed(Member("s", "z", "k", "SERVING"), address),), True))()
+        self.back.pools["s"].submit(silent)
+        self.until(lambda: bool(silent.ends))
+        self.assertEqual(silent.ends, ["silent"])
