No attempt follows one that was given up before the word of it can have arrived

The way to the other server may be shorter. Change: an exchange notes until when word of a given-up attempt may be under way (as long as the connection took to open, the settings' time to connect where the KILL could not be written); further attempts wait for that. Tests: tests/ends/test_ends_links.py, Ways.

--- a/hitchtiller/back/jobs.py
+++ b/hitchtiller/back/jobs.py
@@ -49,6 +49,9 @@
     def broken(self, status: str) -> None:
         """Take the connection's end instead."""
 
+    def hold(self, until_ms: float) -> None:
+        """Hear until when word that it was given up may be under way to its server."""
+
 
 class Pull:
     """An attempt as a PULL."""
@@ -106,6 +109,10 @@
         note, waited = NOTES.get(fields.get("why", ""), 0), _ms(fields.get("fill", ""))
         self.attempt.end(Ending(status, served, unchanged, fields.get("rev", ""), load, given, note, waited))
 
+    def hold(self, until_ms: float) -> None:
+        """Keep further attempts back for so long: the server would have two copies out."""
+        self.attempt.exchange.hold_ms = max(self.attempt.exchange.hold_ms, until_ms)
+
     def broken(self, status: str) -> None:
         """End it with the connection: refused, or reset once written (unwritten jobs go elsewhere)."""
         silent = status == "silent"
@@ -133,6 +140,9 @@
         """Report what came."""
         self.report("done" if word == "FIT" else "err", resp.read_report(fields.get("rep", "")))
 
+    def hold(self, until_ms: float) -> None:
+        """Pass over: a probe is no attempt."""
+
     def broken(self, status: str) -> None:
         """Report the connection's end."""
         self.report("econnrefused" if status == "silent" else status, {})
--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -50,6 +50,7 @@
         self.writer: greenlet | None = None  # while parked for want of work
         self.spoiled = False
         self.up = False
+        self.way_ms = self.connect_ms  # there and back, as its opening took
         self.done = 0
         sched.spawn(self._run)
 
@@ -85,6 +86,7 @@
         elif self.open.get(name) is job:
             del self.open[name]
             self._note(self.killed, name)
+            job.hold(now_ms() + (self.connect_ms if self.stream.size else self.way_ms))
             if self.writing and self.writing[0] is job:
                 # half a command was written: nothing else can be, so no KILL and no new job
                 self.spoiled = True
@@ -116,8 +118,9 @@
 
     def _run(self) -> None:
         try:
+            begun = now_ms()
             self.stream.connect(self.address, self.connect_ms)
-            self.up = True
+            self.up, self.way_ms = True, now_ms() - begun
             self.sched.spawn(self._write)
             self._read()
         except Closed as error:
@@ -229,6 +232,8 @@
         jobs, self.open = list(self.open.values()), {}
         if self.stream.code not in THEIRS:  # else the server has ended them itself
             self.given_up = dict.fromkeys((job.name for job in jobs), now_ms())
+            for job in jobs:
+                job.hold(now_ms() + self.way_ms)
         self._wake()
         if self.up:
             self._hand_back()
--- a/hitchtiller/back/upstreams.py
+++ b/hitchtiller/back/upstreams.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable
+from functools import partial
 from itertools import count
 
 from hitchtiller.back.jobs import Job, Meter, Pull
@@ -131,7 +132,15 @@
         return link
 
     def send(self, attempt: Attempt) -> None:
-        """Carry an attempt to its server."""
+        """Carry an attempt to its server, once none before it can be out any more."""
+        if (wait_ms := attempt.exchange.hold_ms - now_ms()) > 0.0:
+            self.sched.later(wait_ms, partial(self._send, attempt))
+        else:
+            self._send(attempt)
+
+    def _send(self, attempt: Attempt) -> None:
+        if attempt.ended:
+            return
         pool = self.pools.get(attempt.get.server)
         if pool is None:
             attempt.drop("skipped")
--- a/hitchtiller/exchange.py
+++ b/hitchtiller/exchange.py
@@ -110,7 +110,9 @@
 class Exchange:
     """A taken request: it is owed exactly one final answer, unless its client leaves."""
 
-    __slots__ = ("ask", "attempts", "confirm", "decided", "deliver", "guard", "number", "over", "taken_ms")
+    __slots__ = (
+        "ask", "attempts", "confirm", "decided", "deliver", "guard", "hold_ms", "number", "over", "taken_ms",
+    )  # fmt: skip
 
     def __init__(self, number: int, ask: Ask, deliver: Callable[[Answer], None]) -> None:
         """Take a request; `deliver` carries the final answer to the client."""
@@ -120,6 +122,7 @@
         self.over = False
         self.decided = False  # the decisions have it
         self.taken_ms = 0.0
+        self.hold_ms = 0.0  # until then an attempt that was given up may still be out: none may follow it
         self.confirm = ""  # tag of a copy of our own that a server is asked about
 
     def finish(self, answer: Answer) -> bool:
--- a/tests/ends/test_ends_links.py
+++ b/tests/ends/test_ends_links.py
@@ -5,10 +5,12 @@
 import unittest
 from collections.abc import Callable
 
+from hitchtiller import interface as api
 from hitchtiller.back import link as link_module
 from hitchtiller.back.link import Link
 from hitchtiller.back.upstreams import Pool, Upstreams
 from hitchtiller.codec import resp
+from hitchtiller.exchange import Ask, Attempt, Clearance, Exchange
 from hitchtiller.interface import Member
 from hitchtiller.news import Listed, Topology
 from hitchtiller.sched import Scheduler, now_ms
@@ -38,6 +40,9 @@
     def broken(self, status: str) -> None:
         self.ends.append(status)
 
+    def hold(self, until_ms: float) -> None:
+        self.held_ms = until_ms
+
 
 class LinkCase(unittest.TestCase):
     """One server on a real socket, and the pool of connections to it."""
@@ -187,3 +192,55 @@
         self.back.pools["s"].submit(silent)
         self.until(lambda: bool(silent.ends))
         self.assertEqual(silent.ends, ["silent"])
+
+
+class Ways(LinkCase):
+    """The way to a server and back is as long as a connection to it took to open."""
+
+    def attempt(self) -> tuple[Attempt, Exchange]:
+        ask = Ask("0" * 16, "small", "0" * 16, 42, now_ms() + 5_000.0)
+        exchange = Exchange(1, ask, lambda answer: None)
+        get = api.Get(1, "s", "s", 0.0)
+        self.ended: list[str] = []
+        attempt = Attempt(
+            exchange, get, now_ms(), lambda attempt: Clearance(0.0, 1_000.0),
+            lambda attempt, ending: self.ended.append(ending.status), lambda: None,
+        )  # fmt: skip
+        return attempt, exchange
+
+    def test_no_attempt_follows_one_that_was_given_up_before_the_word_of_it_has_arrived(self) -> None:
+        """The next PULL went out in the same turn, before the KILL was even written: two copies out."""
+        first, exchange = self.attempt()
+        self.back.send(first)
+        self.until(lambda: any(link.open for link in self.pool.links))
+        (link,) = self.pool.links
+        link.way_ms = 60.0
+        self.back.cancel(first)
+        first.drop("ecanceled")
+        self.assertGreater(exchange.hold_ms, now_ms() + 30.0)
+        second, _ = self.attempt()
+        second.exchange = exchange
+        written: list[float] = []
+        second.clear = lambda attempt: written.append(now_ms()) or Clearance(0.0, 1_000.0)  # type: ignore[func-returns-value]
+        self.back.send(second)
+        self.until(lambda: bool(written))
+        self.assertGreaterEqual(written[0], exchange.hold_ms)
+
+    def test_one_that_ends_while_it_is_held_back_is_never_written(self) -> None:
+        first, exchange = self.attempt()
+        exchange.hold_ms = now_ms() + 20.0
+        self.back.send(first)
+        first.drop("ecanceled")
+        self.assertEqual(self.ended, ["skipped"], "it never ran")
+        self.until(lambda: now_ms() > exchange.hold_ms + 5.0)
+        self.assertEqual(self.pool.links, [])
+
+    def test_a_close_from_here_holds_further_attempts_back_too(self) -> None:
+        first, exchange = self.attempt()
+        self.back.send(first)
+        self.until(lambda: any(link.open for link in self.pool.links))
+        (link,) = self.pool.links
+        link.way_ms = 60.0
+        link.close("stuck")
+        self.until(lambda: self.ended == ["etimedout"])
+        self.assertGreater(exchange.hold_ms, now_ms() + 20.0)
--- a/tests/test_back.py
+++ b/tests/test_back.py
@@ -30,6 +30,9 @@
     def broken(self, status: str) -> None:
         self.ends.append(status)
 
+    def hold(self, until_ms: float) -> None:
+        self.held_ms = until_ms
+
 
 class Connections(unittest.TestCase):
     def setUp(self) -> None:
