--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -70,11 +70,13 @@
 
 def descriptors(limit: int, two: bool, younger: bool) -> tuple[int, int]:
     """Give how many clients and how many connections to servers a process may hold."""
-    clients = limit // 3 + EXTRA
+    # under 256 both shrink: idle clients may hold all that they may, and links and bus need theirs
+    spare = min(SPARE, limit * 3 // 16)
+    clients = limit // 3 + min(EXTRA, limit // 16)
     if not two:
-        return clients, limit - clients - SPARE
+        return clients, limit - clients - spare
     half = clients // 2  # guards two processes' sum: silent clients may hold the older one's whole third
-    return half if younger else clients, (limit - clients - half - SPARE) // 2
+    return half if younger else clients, max(1, (limit - clients - half - spare) // 2)
 
 
 def shared(name: str) -> Path | None:
--- a/hitchtiller/front/leave.py
+++ b/hitchtiller/front/leave.py
@@ -62,7 +62,7 @@
         for client in list(self.front.clients):
             client.going()
             if client.settled(now, last):
-                client.stream.close(MOVED if self.front.state == HANDING else "drained")
+                client.close_when_done(MOVED if self.front.state == HANDING else "drained", CROSS_MS)
 
     def hand_over(self) -> None:
         """Leave the clients to the next version, which accepts from now on, and end when all have gone."""
--- a/hitchtiller/ops/holdouts.py
+++ b/hitchtiller/ops/holdouts.py
@@ -92,9 +92,10 @@
             seen = (stat.st_ino, stat.st_mtime_ns, stat.st_size)
             if seen == self.seen:
                 return
+            text = path.read_text()
             self.seen = seen
             try:
-                out = json.loads(path.read_text())["out"]
+                out = json.loads(text)["out"]
                 if not isinstance(out, list) or not all(isinstance(server, str) for server in out):
                     raise ValueError("no list of ids")
             except (ValueError, TypeError, KeyError) as error:
@@ -114,4 +115,5 @@
         """Look again and again for what another process was told."""
         while self.folder:
             sched.sleep(LOOK_MS)
-            self.look()
+            with contextlib.suppress(OSError):  # no descriptor left: it is looked at again
+                self.look()
--- a/hitchtiller/ops/sign.py
+++ b/hitchtiller/ops/sign.py
@@ -38,13 +38,18 @@
         return found
 
     def _look(self, path: Path) -> str:
-        """Read one file; nothing if nobody holds its lock."""
-        with contextlib.suppress(OSError), path.open() as file:  # it may go at any time
+        """Read one file; nothing if nobody holds its lock. OSError where it can't be told."""
+        try:
+            file = path.open()
+        except FileNotFoundError:  # it may go at any time
+            return ""
+        with file:
             try:
                 fcntl.flock(file, fcntl.LOCK_SH | fcntl.LOCK_NB)  # shared: two that look must not meet
             except BlockingIOError:
                 return file.read().strip() or STARTING
-            path.unlink()
+            with contextlib.suppress(OSError):
+                path.unlink()
         return ""
 
     def remove(self) -> None:
--- a/hitchtiller/ops/upgrade.py
+++ b/hitchtiller/ops/upgrade.py
@@ -1,5 +1,6 @@
 """A new version takes over while the old one serves: who accepts, who is ready, and what each may hold."""
 
+import contextlib
 from collections.abc import Callable
 
 from hitchtiller.front.server import Front
@@ -68,7 +69,8 @@
         """See who lives, and act on a change."""
         before = bool(self.others)
         if self.sign:
-            self.others = self.sign.others()
+            with contextlib.suppress(OSError):  # no descriptor left: what was seen last holds
+                self.others = self.sign.others()
         if before != bool(self.others):
             self.share(bool(self.others), bool(self.older()))
         if not self.ready and not self.front.unready():
--- a/hitchtiller/settings.py
+++ b/hitchtiller/settings.py
@@ -1,16 +1,58 @@
-"""The setup object, as the simulator and the configuration file give it, to Settings."""
+"""The setup object, as the simulator and the configuration file give it, to Settings, checked."""
 
+import math
+from dataclasses import fields
 from typing import Any
 
 from hitchtiller import interface as api
 
 Fields = dict[str, Any]
+EFFECTS = ("repeatable", "by_key", "once")
+NAMES = {"float": "number from 0 up", "int": "whole number from 0 up", "bool": "yes or no", "str": "text"}
 
 
 def _at(values: list[Any] | None, index: int, default: Any) -> Any:
     return values[index] if values and index < len(values) else default
 
 
+def _fits(value: Any, kind: str) -> bool:
+    """Tell whether a value is of a field's kind; numbers are finite and not negative."""
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    match kind:
+        case "float":
+            return number and math.isfinite(value) and value >= 0.0
+        case "int":
+            return isinstance(value, int) and not isinstance(value, bool) and value >= 0
+        case "bool":
+            return isinstance(value, bool) or value in (0, 1)
+        case "str":
+            return isinstance(value, str)
+    return True
+
+
+def _check(settings: api.Settings | api.ClassSettings, where: str) -> None:
+    """Raise ValueError for what would fail only once a request needs it."""
+    for field in fields(settings):
+        kind, value = str(getattr(field.type, "__name__", field.type)), getattr(settings, field.name)
+        if not _fits(value, kind):
+            raise ValueError(f"{where}: {field.name} {value!r} is no {NAMES[kind]}")
+
+
+def _check_lists(settings: api.Settings) -> None:
+    """Raise ValueError for lists by zone that don't have one entry for each, or that name none there is."""
+    s, zones = settings, len(settings.zones)
+    if not s.classes:
+        raise ValueError("settings: no classes")
+    if not s.my_number < s.group_size:
+        raise ValueError(f"settings: my_number {s.my_number} of {s.group_size} gateways")
+    for name, values in (("hub_of", s.hub_of), ("instances_by_zone", s.gateways_in_zone),
+                         ("feed_kb_per_s", s.link_kb_per_s)):  # fmt: skip
+        if len(values) not in (0, zones) or not all(_fits(value, "float") for value in values):
+            raise ValueError(f"settings: {name} {list(values)!r:.80} for {zones} localities")
+    if not all(_fits(hub, "int") and hub < zones for hub in s.hub_of):
+        raise ValueError(f"settings: hub_of {list(s.hub_of)!r:.80} names none of {zones} localities")
+
+
 def _class(fields: Fields, index: int, info: Fields) -> api.ClassSettings:
     return api.ClassSettings(
         name=fields["name"],
@@ -35,8 +77,8 @@
     info, limits, rules = (setup.get(key, {}) for key in ("family_info", "limits", "contract"))
     kinds, zones = setup.get("skus", []), setup.get("localities", [])
     parent, origin = info.get("second_tier_kind", -1), info.get("store_kind", -1)
-    classes = [_class(fields, i, info) for i, fields in enumerate(setup["classes"])]
-    return api.Settings(
+    classes = [_class(entry, i, info) for i, entry in enumerate(setup["classes"])]
+    settings = api.Settings(
         my_number=setup["my_number"],
         group_size=setup["group_size"],
         my_zone=setup["my_zone"],
@@ -75,3 +117,10 @@
         asks_discovery=setup.get("discovery") == "ask",
         ask_within_ms=rules.get("ask_within_ms", 0.0),
     )
+    _check(settings, "settings")
+    for entry in classes:
+        _check(entry, f"class {entry.name!r}")
+        if entry.effect not in EFFECTS:
+            raise ValueError(f"class {entry.name!r}: effect {entry.effect!r} is none of {', '.join(EFFECTS)}")
+    _check_lists(settings)
+    return settings
--- a/tests/ends/test_ends_descriptors.py
+++ b/tests/ends/test_ends_descriptors.py
@@ -3,10 +3,12 @@
 import os
 import resource
 import socket
+import tempfile
 import time
 import unittest
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from pathlib import Path
 from typing import Any
 from unittest import mock
 
@@ -18,7 +20,10 @@
 from hitchtiller.front.client import Client
 from hitchtiller.front.server import Front
 from hitchtiller.interface import Member
-from hitchtiller.news import Listed, Topology
+from hitchtiller.news import Event, Listed, Topology
+from hitchtiller.ops.holdouts import HoldOuts
+from hitchtiller.ops.sign import Sign
+from hitchtiller.ops.upgrade import Upgrade
 from hitchtiller.sched import Scheduler, Stream
 
 PATIENCE_S = 5.0
@@ -65,6 +70,9 @@
     def broken(self, status: str) -> None:
         self.ends.append(status)
 
+    def hold(self, until_ms: float) -> None:
+        self.held_ms = until_ms
+
 
 class NoDescriptor(unittest.TestCase):
     def setUp(self) -> None:
@@ -127,6 +135,56 @@
         self.assertTrue(run_until(self.sched, lambda: len(front.clients) == 1))
 
 
+class NoLook(unittest.TestCase):
+    """The folder that two versions share can't be read: what was seen last holds."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        older = Sign(Path(folder.name))
+        self.addCleanup(older.remove)
+        self.sign = Sign(Path(folder.name))
+        self.addCleanup(self.sign.remove)
+        self.front: Any = mock.Mock(accepting=True)
+        self.front.unready.return_value = "no list yet"
+        self.upgrade = Upgrade(Scheduler(), self.sign, self.front, lambda whole: True, lambda two, mine: None)
+
+    def test_the_other_process_is_not_taken_for_gone_and_the_look_goes_on(self) -> None:
+        """The look raised: its greenlet ended, and the gateway was never told to be ready."""
+        self.assertEqual(len(self.upgrade.older()), 1)
+        with no_descriptors():
+            self.upgrade.look()
+        self.assertEqual(len(self.upgrade.older()), 1)
+        self.assertFalse(self.front.accepting, "the older one serves")
+
+    def test_a_stop_leaves_all_the_same(self) -> None:
+        """SIGTERM ended in the look's fault: nobody was told to go, and the kill took what was in hand."""
+        with no_descriptors():
+            self.upgrade.stop()
+        self.front.leave.stop.assert_called_once()
+
+
+class NoRead(unittest.TestCase):
+    def test_hold_outs_told_while_no_file_can_be_read_are_taken_later(self) -> None:
+        """The fault ended the greenlet, and the file counted as seen."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        sched, told = Scheduler(), list[Event]()
+        mine, other = (HoldOuts(Path(folder.name), told.append, "origin") for _ in range(2))
+        server = Listed(Member("s-1", "z", "k", "SERVING"), ("127.0.0.1", 1))
+        for each in (mine, other):
+            each.news(Topology((server,), True))
+        sched.spawn(mine.run, sched)
+        other.disable("s-1")
+        with no_descriptors():
+            end = time.monotonic() + 0.5
+            while time.monotonic() < end:
+                sched.later(1.0, lambda: None)
+                sched.turn()
+            self.assertEqual(mine.out, frozenset())
+        self.assertTrue(run_until(sched, lambda: mine.out == {"s-1"}))
+
+
 class Room(unittest.TestCase):
     """Who makes room where clients hold all that they may."""
 
--- /dev/null
+++ b/tests/ends/test_ends_discovery.py
@@ -0,0 +1,171 @@
+"""Discovery that goes silent or away at each instant, also while idle clients hold all that they may."""
+
+import resource
+import socket
+import time
+import unittest
+from collections.abc import Callable
+
+from conftest import BASE
+from scenario import PATIENCE_S, Gateway, Party, answer
+
+from hitchtiller.bus import CONNECT_MS, SILENT_MS, BusLink
+from hitchtiller.codec import frames
+from hitchtiller.codec.bus import HEAD, RECORD
+from hitchtiller.news import Event
+from hitchtiller.sched import Scheduler, now_ms
+
+WITHIN_S = 2.0 * (CONNECT_MS + SILENT_MS) / 1000.0
+NOTHING = HEAD.pack(1, 0)
+READY_S = 10.0  # of restarted processes, nine in ten
+
+
+def drain(number: int, id: int) -> bytes:
+    body = HEAD.pack(number, 2) + RECORD.pack(id, bytes([127, 0, 0, 1]), 9, 1, 1, 0, 0, 8000, 0)
+    return len(body).to_bytes(4, "big") + body
+
+
+def framed(body: bytes) -> bytes:
+    return len(body).to_bytes(4, "big") + body
+
+
+class Silences(unittest.TestCase):
+    """One subscription, whose other end says nothing more at a chosen point."""
+
+    def setUp(self) -> None:
+        self.sched, self.heard = Scheduler(), list[Event]()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+        self.addCleanup(self.listener.close)
+        address = ("127.0.0.1", int(self.listener.getsockname()[1]))
+        kinds = ("box", "parent", "origin")
+        self.bus = BusLink(self.sched, self.heard.append, address, (BASE.zones, kinds))
+        self.sched.spawn(self.bus.run)
+        self.addCleanup(lambda: self.bus.stream and self.bus.stream.close("end"))
+
+    def until(self, done: Callable[[], bool], within_s: float = PATIENCE_S) -> None:
+        end = time.monotonic() + within_s
+        while not done():
+            self.assertLess(time.monotonic(), end)
+            self.sched.later(1.0, lambda: None)
+            self.sched.turn()
+
+    def accepted(self, within_s: float = PATIENCE_S) -> socket.socket:
+        """Wait until the bus is asked, and for its number."""
+        got: list[socket.socket] = []
+
+        def look() -> bool:
+            try:
+                got.append(self.listener.accept()[0])
+            except BlockingIOError:
+                return False
+            return True
+
+        self.until(look, within_s)
+        self.addCleanup(got[0].close)
+        got[0].setblocking(False)
+        return got[0]
+
+    def goes_silent_after(self, said: bytes, last: int) -> None:
+        """Say something and nothing more; it has to ask again, from the last whole event on, and be told."""
+        first = self.accepted()
+        first.sendall(said)
+        second = self.accepted(WITHIN_S)
+        number = bytearray()
+
+        def told() -> bool:
+            try:
+                number.extend(second.recv(8))
+            except BlockingIOError:
+                return False
+            return len(number) == 8
+
+        self.until(told)
+        self.assertEqual(int.from_bytes(number, "big"), last)
+        second.sendall(drain(last + 1, 7))
+        self.until(lambda: self.bus.last == last + 1)
+
+    def test_right_after_the_connection(self) -> None:
+        self.goes_silent_after(b"", 0)
+
+    def test_after_the_subscription_has_told_all(self) -> None:
+        self.goes_silent_after(drain(3, 5) + framed(NOTHING), 3)
+
+    def test_in_the_middle_of_an_event(self) -> None:
+        self.goes_silent_after(drain(3, 5) + drain(4, 6)[:20], 3)
+
+    def test_in_the_middle_of_a_length(self) -> None:
+        self.goes_silent_after(drain(3, 5) + b"\0\0", 3)
+
+    def test_a_move_while_the_old_one_does_not_answer(self) -> None:
+        """SIGHUP comes while a connection to the old address is under way, or waited for."""
+        self.accepted()
+        other = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(other.close)
+        self.listener.close()
+        self.listener = other
+        other.setblocking(False)
+        begun = now_ms()
+        self.bus.move(("127.0.0.1", int(other.getsockname()[1])))
+        self.accepted(1.0)
+        self.assertLess(now_ms() - begun, 1_000.0)
+
+
+class FullHouse(unittest.TestCase):
+    """Idle clients hold all descriptors that they may, and try for more, while discovery is down."""
+
+    LIMIT = 120
+
+    def setUp(self) -> None:
+        self.gateway = Gateway(sockets=self.LIMIT)
+        self.addCleanup(self.gateway.stop)
+
+    def crowd(self) -> list[socket.socket]:
+        """Connect as many as the process has descriptors, and twice more."""
+        pid = self.gateway.process.pid
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (self.LIMIT, self.LIMIT))
+        crowd = []
+        for _ in range(3 * self.LIMIT):
+            crowd.append(socket.create_connection(("127.0.0.1", self.gateway.port), timeout=PATIENCE_S))
+            self.addCleanup(crowd[-1].close)
+        return crowd
+
+    def test_bus_and_links_keep_theirs_and_a_drain_told_after_it_returns_is_kept(self) -> None:
+        address = self.gateway.bus.getsockname()
+        self.gateway.subscription().close()
+        self.gateway.bus.close()  # discovery is down
+        self.crowd()
+        client = self.gateway.client()
+        self.addCleanup(client.close)
+        client.ask(1)
+        cache = self.gateway.server()
+        self.addCleanup(cache.close)
+        cache.send(answer(cache.expect_pull()[0], b"DONE", body=b"x"))
+        client.expect_answer(1, frames.SERVED, b"x")
+        self.gateway.bus = socket.create_server(address, reuse_port=False)
+        bus = Party(self.gateway.bus.accept()[0], None)
+        self.addCleanup(bus.close)
+        record = RECORD.pack(
+            0, bytes([127, 0, 0, 1]), self.gateway.caches["cache"].getsockname()[1], 1, 1, 0, 0, 8000, 0
+        )
+        bus.send(framed(HEAD.pack(2, 2) + record) + b"\xff" * 64)
+        self.gateway.expect_line("code=junk last=2")  # the junk after it tells that it was applied
+        client.ask(2)
+        self.gateway.server("parent").expect_pull()  # the drained cache gets nothing new
+
+    def test_a_restarted_process_is_ready_in_time_with_discovery_down_and_a_crowd_at_its_door(self) -> None:
+        self.gateway.bus.close()
+        took = []
+        for _ in range(5):
+            self.gateway.kill()
+            begun = time.monotonic()
+            self.gateway.start()
+            self.crowd()
+            self.gateway.expect_line("INFO n0 ready")
+            probe = self.gateway.client()
+            self.addCleanup(probe.close)
+            probe.send(frames.head(frames.READY, 0, 1) + b"\0")
+            probe.expect(lambda got: got.kind == frames.READY_ANSWER and got.payload[0] == frames.SERVED)
+            took.append(time.monotonic() - begun)
+        self.assertLess(max(took), READY_S, took)
+        print("ready after s:", [round(each, 2) for each in took])
--- a/tests/ends/test_ends_shutdown.py
+++ b/tests/ends/test_ends_shutdown.py
@@ -103,3 +103,23 @@
         self.gateway.terminate()
         self.assertEqual(self.gateway.process.wait(PATIENCE_S), 0)
         self.assertLess(time.monotonic() - begun, self.KILL_S)
+
+
+class Drains(FrontCase):
+    def test_a_request_that_crosses_the_close_of_a_drain_takes_no_answer_along(self) -> None:
+        """The close was outright: over the unread request it reset the connection."""
+        self.engine.answer(self.ask(1), b"last")
+        self.client.seen_ms -= 10_000.0
+        look = Client.idle
+
+        def crossed(client: Client) -> bool:
+            found = look(client)
+            if found:
+                self.other.sendall(request(2))
+            return found
+
+        with mock.patch.object(Client, "idle", crossed):
+            self.front.leave._let_go(last=True)
+        got = list(frames.FrameReader().feed(self.everything()))
+        self.assertEqual([(f.kind, f.stream) for f in got], [(frames.ANSWER, 1), (frames.GOING, 0)])
+        self.assertEqual(len(self.engine.taken), 1)
--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,65 @@
+"""Tests that fail for a known fault: pytest's `--known-red FILE` passes over just these.
+
+They are run and printed. The file has a line for each: `TEST, CAUSE, ISSUE`, three at most. A fourth, one
+that can't be read, or one that names no test there is ends the run with an error.
+"""
+
+from collections.abc import Generator, Sequence
+from pathlib import Path
+
+import pytest
+from _pytest.terminal import TerminalReporter
+
+MOST = 3
+KEY = pytest.StashKey[dict[str, str]]()
+
+
+def read(path: Path) -> dict[str, str]:
+    """Read the file: causes and issues by test; UsageError for what can't be used."""
+    lines = [line.strip() for line in path.read_text().splitlines() if line.strip()]
+    if len(lines) > MOST:
+        raise pytest.UsageError(f"{path}: {len(lines)} lines, {MOST} at most")
+    known = {}
+    for line in lines:
+        test, *why = (part.strip() for part in line.split(",", 2))
+        if len(why) < 2 or not all((test, *why)):
+            raise pytest.UsageError(f"{path}: no 'test, cause, issue': {line}")
+        known[test] = ", ".join(why)
+    return known
+
+
+def pytest_addoption(parser: pytest.Parser) -> None:
+    """Add the option."""
+    parser.addoption("--known-red", metavar="FILE", help="pass over the failures that FILE lists")
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    """Read the file."""
+    name = config.getoption("--known-red")
+    config.stash[KEY] = read(Path(name)) if name else {}
+
+
+def pytest_collection_modifyitems(config: pytest.Config, items: Sequence[pytest.Item]) -> None:
+    """Check that each line names a test there is."""
+    missing = set(config.stash[KEY]) - {item.nodeid for item in items}
+    if missing:
+        raise pytest.UsageError(f"known-red names no test there is: {', '.join(sorted(missing))}")
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(
+    item: pytest.Item, call: pytest.CallInfo[None]
+) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    """Turn a listed test's failure into an expected one."""
+    report = yield
+    if report.failed and item.nodeid in item.config.stash[KEY]:
+        report.outcome, report.wasxfail = "skipped", f"known red: {item.config.stash[KEY][item.nodeid]}"
+    return report
+
+
+def pytest_terminal_summary(terminalreporter: TerminalReporter) -> None:
+    """Print each, with what became of it."""
+    known = terminalreporter.config.stash[KEY]
+    failed = {report.nodeid for report in terminalreporter.getreports("xfailed")}
+    for test, why in known.items():
+        terminalreporter.write_line(f"KNOWN-RED {'failed' if test in failed else 'passed'} {test}: {why}")
