Bytes of requests that waited for a jam are no longer counted once they are taken

The connection then never counted as settled in a stop (leave.py looks at stream.kept) until something else came on it. Found by reading; asserted in tests/ends/test_ends_clients.py, which fails without it.

--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -55,6 +55,7 @@
         self.open: dict[int, Exchange] = {}
         self.numbers = Numbers()
         self.waiting: dict[int, tuple[frames.Frame, float]] = {}  # requests that came while UNSENT was over
+        self.rest = 0  # bytes of a frame that is not whole yet
         self.excess = 0  # requests refused since one was last taken, for want of room on the connection
         self.closing = ""  # a reason to close once all in hand is answered
         self.deaf = False  # what comes is dropped: no frame can be told apart, or no answer can be written
@@ -112,8 +113,8 @@
         except frames.BadFrame:
             reader.buffer.clear()
             self.refuse_all("bad-frame")
-        half = len(reader.buffer)
-        self.stream.keep(half + sum(len(frame.payload) for frame, _ in self.waiting.values()))
+        self.rest = half = len(reader.buffer)
+        self._keep()
         if half and self.owed_ms is None:
             self.half_ms = begun
         # guards requests in pieces: those that took longer than the 2.2 s were cut, though they grew
@@ -175,6 +176,10 @@
         else:
             raise frames.BadFrame(f"type {frame.kind}")
 
+    def _keep(self) -> None:
+        """Count the bytes that are held of what could not be taken yet."""
+        self.stream.keep(self.rest + sum(len(frame.payload) for frame, _ in self.waiting.values()))
+
     def _flood(self) -> None:
         """End a client that asks on and on for what it does not take, or for more than it may."""
         if not self.deaf:
@@ -190,6 +195,7 @@
                 self.front.sched.sleep(LOOK_MS)
                 continue
             frame, arrived = self.waiting.pop(next(iter(self.waiting)))
+            self._keep()
             try:
                 self._request(frame, arrived)
             except frames.BadFrame:
--- a/tests/ends/test_ends_clients.py
+++ b/tests/ends/test_ends_clients.py
@@ -42,6 +42,7 @@
             return len(self.engine.taken) == 2
 
         self.until(drained, "what waited is taken once its client takes its answers")
+        self.assertEqual(self.client.stream.kept, 0, "and is not counted as held any more")
         self.assertEqual(self.engine.taken[1], f"{3:016x}")
 
     def test_a_request_whose_client_left_behind_it_in_a_busy_turn_is_not_taken(self) -> None:
