What has come in a turn is heard before what was made ready earlier goes on

Seen, by a test that forces it: a client gives up while the loop is busy, and in that turn an attempt for it is made ready. At the next turn the loop looked, but ran the link's writer first (`Scheduler.turn` appended those found by poll behind what was ready), so the command went out before the cancel that lay there was read. The guard in `Link._write` did not help: the look had just been. Change: tasks for which something has come go first in a turn, signals' before them as they did.

--- a/hitchtiller/sched.py
+++ b/hitchtiller/sched.py
@@ -113,7 +113,6 @@
     def look(self) -> None:
         """Let the loop look once more, and those run for whom something has come."""
         self.pause()
-        self.pause()
 
     def sleep(self, delay_ms: float) -> None:
         """Park for a while."""
@@ -203,6 +202,8 @@
         except (InterruptedError, Woken):  # what poll had found is found again: poll is level-triggered
             self.polling = False
             found = []
+        # what has come is heard before what was made ready earlier goes on: a client may have gone meanwhile
+        earlier, self.ready = self.ready, deque()
         while self.signalled:
             self.spawn(self.signalled.popleft())
         begun = time.monotonic()
@@ -221,6 +222,8 @@
                     woken = True
             if not woken:  # guards against spinning on what nobody waits for
                 self._watch(fd)
+        for task, value in earlier:
+            self.wake(task, value)
         self._fire(begun)
         for _ in range(len(self.ready)):
             task, value = self.ready.popleft()
--- a/tests/ends/test_ends_links.py
+++ b/tests/ends/test_ends_links.py
@@ -13,7 +13,7 @@
 from hitchtiller.exchange import Ask, Attempt, Clearance, Exchange
 from hitchtiller.interface import Member
 from hitchtiller.news import Listed, Topology
-from hitchtiller.sched import Scheduler, now_ms
+from hitchtiller.sched import READ, Scheduler, now_ms
 
 CONNECT_MS = 400.0
 PATIENCE_S = 5.0
@@ -244,3 +244,33 @@
         link.close("stuck")
         self.until(lambda: self.ended == ["etimedout"])
         self.assertGreater(exchange.hold_ms, now_ms() + 20.0)
+
+
+class BusyTurns(LinkCase):
+    def test_what_its_client_gave_up_while_the_loop_was_busy_is_not_begun(self) -> None:
+        """The command went out at the turn's end, before what had come during the turn was looked at."""
+        self.written(Job(b"first"))
+        ours, theirs = socket.socketpair()
+        for sock in (ours, theirs):
+            self.addCleanup(sock.close)
+        job, events = Job(b"late"), list[str]()
+        command = job.command
+        job.command = lambda: events.append("begun") or command()  # type: ignore[func-returns-value,method-assign]
+
+        def client() -> None:
+            self.sched.wait(ours.fileno(), READ)
+            events.append("gave up")
+            self.back.pools["s"].cancel(job)
+
+        def busy() -> None:
+            theirs.send(b"x")  # the client gives up while the loop does other work
+            time.sleep(0.05)
+            self.pool.submit(job)
+
+        self.sched.spawn(client)
+        self.sched.turn()
+        self.sched.spawn(busy)
+        self.until(lambda: bool(events))
+        end = now_ms() + 50.0
+        self.until(lambda: now_ms() > end)
+        self.assertEqual(events, ["gave up"])
