--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -294,8 +294,8 @@
         if attempt.ended or attempt.exchange.over or self.behind():
             return None
         try:
-            member = self.router.nodes[attempt.get.server].m
-            if not self.effects.may_begin(ask.class_name, ask.dedupe, member, now):
+            node = self.router.nodes.get(attempt.get.server)  # it may have gone meanwhile
+            if not node or not self.effects.may_begin(ask.class_name, ask.dedupe, node.m, now):
                 return None
             cap = self.router.release(attempt.get.id, attempt.shot, now)
         except Exception:  # noqa: BLE001  it would take a connection's other jobs along
@@ -305,7 +305,7 @@
             cap = self.copies.cap(attempt.exchange, cap, now)
         if cap is None:
             return None
-        self.effects.begin(ask.class_name, ask.dedupe, member, now)
+        self.effects.begin(ask.class_name, ask.dedupe, node.m, now)
         return Clearance(cap, ask.deadline_ms - now)
 
     def sent(self) -> None:
--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -15,7 +15,7 @@
 
 MOST_OPEN = 32  # requests on one connection
 MOST_HOLES = 64  # stream numbers passed over that may still come
-UNSENT = 1_000_000  # bytes that a client has not taken, from which its requests wait: backpressure
+HIGH_WATER = 1_000_000  # bytes that a client has not taken, from which its requests wait: backpressure
 MOST_EXCESS = 32  # requests past MOST_OPEN that are refused before their sender is taken for a flood
 AT_ONCE = 16  # frames of one connection in a turn: hundreds at once must not hold up the others
 OWED_MS = 2_200.0  # for a first whole frame, or the rest of one
@@ -54,7 +54,7 @@
         self.front, self.stream, self.peer = front, stream, peer
         self.open: dict[int, Exchange] = {}
         self.numbers = Numbers()
-        self.waiting: dict[int, tuple[frames.Frame, float]] = {}  # requests that came while UNSENT was over
+        self.waiting: dict[int, tuple[frames.Frame, float]] = {}  # requests that came above HIGH_WATER
         self.rest = 0  # bytes of a frame that is not whole yet
         self.excess = 0  # requests refused since one was last taken, for want of room on the connection
         self.closing = ""  # a reason to close once all in hand is answered
@@ -154,7 +154,7 @@
 
     def _frame(self, frame: frames.Frame, arrived: float) -> None:
         if frame.kind == frames.REQUEST:
-            if self.stream.size <= UNSENT and not self.waiting:
+            if self.stream.size <= HIGH_WATER and not self.waiting:
                 self._request(frame, arrived)
             elif len(self.waiting) < MOST_OPEN and frame.stream not in self.waiting:
                 if not self.waiting:
@@ -168,7 +168,7 @@
                 self.front.engine.leave(exchange)
         elif frame.kind == frames.READY:
             self.probed_ms = now_ms()
-            if self.stream.size > UNSENT:
+            if self.stream.size > HIGH_WATER:
                 return self._flood()
             code = frames.REFUSED if self.front.told() else frames.SERVED
             payload = bytes([code]) + frames.write_fields({})
@@ -191,7 +191,7 @@
         Meanwhile the connection is read on: a client that gives up, or leaves, is seen at once.
         """
         while self.waiting and not self.stream.code:
-            if self.stream.size > UNSENT:
+            if self.stream.size > HIGH_WATER:
                 self.front.sched.sleep(LOOK_MS)
                 continue
             frame, arrived = self.waiting.pop(next(iter(self.waiting)))
