--- a/tests/ends/sides.py
+++ b/tests/ends/sides.py
@@ -9,7 +9,7 @@
 
 from conftest import BASE
 
-from hitchtiller.codec import frames
+from hitchtiller.codec import frames, resp
 from hitchtiller.engine import Engine
 from hitchtiller.exchange import SERVED, Answer, Ask, Exchange
 from hitchtiller.front.client import Client
@@ -38,6 +38,32 @@
     return frames.head(frames.REQUEST, stream, len(payload)) + payload
 
 
+class Job:
+    """A command to a server that tells how it ended."""
+
+    def __init__(self, name: bytes = b"1", repeatable: bool = True) -> None:
+        self.name, self.due_ms, self.moves, self.repeatable = name, 1e18, 0, repeatable
+        self.ends: list[str] = []
+        self.held_ms = 0.0
+
+    def command(self) -> bytes:
+        return resp.write_command(b"PULL", self.name, b"-", b"")
+
+    def sent(self) -> None:
+        """Count nothing."""
+
+    def answered(self, word: str, fields: dict[str, str], body: bytes) -> None:
+        if word not in ("DONE", "WAIT"):
+            raise resp.BadResp(word)
+        self.ends.append(word)
+
+    def hold(self, until_ms: float) -> None:
+        self.held_ms = until_ms
+
+    def broken(self, status: str) -> None:
+        self.ends.append(status)
+
+
 class NotingEngine:
     """Notes requests taken, and those whose clients have gone; a test answers."""
 
--- a/tests/ends/test_ends_descriptors.py
+++ b/tests/ends/test_ends_descriptors.py
@@ -6,13 +6,14 @@
 import tempfile
 import time
 import unittest
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 from unittest import mock
 
 from conftest import BASE
+from sides import Job, run_until
 
 from hitchtiller.back.upstreams import Upstreams
 from hitchtiller.bus import BusLink
@@ -42,38 +43,6 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
 
 
-def run_until(sched: Scheduler, done: Callable[[], bool]) -> bool:
-    """Turn the loop until something holds; False if it does not come to hold."""
-    end = time.monotonic() + PATIENCE_S
-    while time.monotonic() < end:
-        if done():
-            return True
-        sched.later(1.0, lambda: None)
-        sched.turn()
-    return False
-
-
-class Job:
-    """Something to write that tells how it ended."""
-
-    name, due_ms, moves, repeatable = b"1", 1e18, 0, True
-
-    def __init__(self) -> None:
-        self.ends: list[str] = []
-
-    def command(self) -> bytes:
-        return b"*1\r\n$1\r\nx\r\n"
-
-    def sent(self) -> None:
-        """Count nothing."""
-
-    def broken(self, status: str) -> None:
-        self.ends.append(status)
-
-    def hold(self, until_ms: float) -> None:
-        self.held_ms = until_ms
-
-
 class NoDescriptor(unittest.TestCase):
     def setUp(self) -> None:
         self.sched = Scheduler()
@@ -103,12 +72,12 @@
         """The fault was raised inside the decision's action: the request failed, its attempt never ended."""
         back = Upstreams(self.sched, (400.0, 1000.0), 4, 8)
         back.follow(Topology((Listed(Member("s", "z", "k", "SERVING"), self.address),), True))
-        job: Any = Job()
+        job = Job()
         with no_descriptors():
             back.pools["s"].submit(job)
         self.assertEqual(job.ends, ["skipped"], "which proves that nothing ran")
         self.assertEqual(back.count, 0)
-        again: Any = Job()
+        again = Job()
         back.pools["s"].submit(again)
         self.addCleanup(back.pools["s"].close, "end")
         self.assertTrue(run_until(self.sched, self.accepted), "the pool opens again")
--- a/tests/ends/test_ends_links.py
+++ b/tests/ends/test_ends_links.py
@@ -5,6 +5,8 @@
 import unittest
 from collections.abc import Callable
 
+from sides import PATIENCE_S, Job, run_until
+
 from hitchtiller import interface as api
 from hitchtiller.back import link as link_module
 from hitchtiller.back.link import Link
@@ -16,32 +18,6 @@
 from hitchtiller.sched import READ, Scheduler, now_ms
 
 CONNECT_MS = 400.0
-PATIENCE_S = 5.0
-
-
-class Job:
-    """A command that tells how it ended."""
-
-    def __init__(self, name: bytes, repeatable: bool = True) -> None:
-        self.name, self.due_ms, self.moves, self.repeatable = name, 1e18, 0, repeatable
-        self.ends: list[str] = []
-
-    def command(self) -> bytes:
-        return resp.write_command(b"PULL", self.name, b"-", b"")
-
-    def sent(self) -> None:
-        """Count nothing."""
-
-    def answered(self, word: str, fields: dict[str, str], body: bytes) -> None:
-        if word not in ("DONE", "WAIT"):
-            raise resp.BadResp(word)
-        self.ends.append(word)
-
-    def broken(self, status: str) -> None:
-        self.ends.append(status)
-
-    def hold(self, until_ms: float) -> None:
-        self.held_ms = until_ms
 
 
 class LinkCase(unittest.TestCase):
@@ -58,11 +34,7 @@
         self.addCleanup(self.pool.close, "end")
 
     def until(self, done: Callable[[], bool]) -> None:
-        end = time.monotonic() + PATIENCE_S
-        while not done():
-            self.assertLess(time.monotonic(), end, "it does not come to hold")
-            self.sched.later(1.0, lambda: None)
-            self.sched.turn()
+        self.assertTrue(run_until(self.sched, done), "it does not come to hold")
 
     def written(self, job: Job) -> tuple[Link, socket.socket]:
         """Submit a job; give the connection that it was written on, and the server's end of it."""
