--- a/tests/ends/test_ends_discovery.py
+++ b/tests/ends/test_ends_discovery.py
@@ -17,6 +17,7 @@
 
 WITHIN_S = 2.0 * (CONNECT_MS + SILENT_MS) / 1000.0
 NOTHING = HEAD.pack(1, 0)
+AT_ONCE_S = 1.5  # before the silent crowd is turned out for its silence, after 2.2 s
 READY_S = 10.0  # of restarted processes, nine in ten
 
 
@@ -137,8 +138,11 @@
         self.crowd()
         client = self.gateway.client()
         self.addCleanup(client.close)
+        client.sock.settimeout(AT_ONCE_S)
         client.ask(1)
+        begun = time.monotonic()
         cache = self.gateway.server()
+        self.assertLess(time.monotonic() - begun, AT_ONCE_S)
         self.addCleanup(cache.close)
         cache.send(answer(cache.expect_pull()[0], b"DONE", body=b"x"))
         client.expect_answer(1, frames.SERVED, b"x")
