An id given up in silence is not asked of the same server again: it may hang

Change: an id goes behind its KILL on the same connection, or not to that server for 6 s (`KILLED_MS`); after a close in silence likewise. After junk, which shows that the server reads, a fresh connection still does. Tests: tests/ends/test_ends_links.py, GivenUp; the one that expected a fresh connection now expects none.

--- a/hitchtiller/back/upstreams.py
+++ b/hitchtiller/back/upstreams.py
@@ -6,13 +6,12 @@
 from itertools import count
 
 from hitchtiller.back.jobs import Job, Meter, Pull
-from hitchtiller.back.link import Link
+from hitchtiller.back.link import KILLED_MS, Link
 from hitchtiller.exchange import Attempt
 from hitchtiller.log import ended
 from hitchtiller.news import Listed, Topology
 from hitchtiller.sched import Scheduler, now_ms
 
-STUCK, UNDER_WAY = "stuck", "under way"  # word that an attempt was given up
 MOST_MOVES = 2  # connections that an unwritten job may see end
 FEW, MOST_LINKS = 3, 6  # attempts on one connection from which another opens, and how many of them
 SWEEP_MS = 100.0
@@ -25,24 +24,25 @@
         """Start without a connection."""
         self.owner, self.host = owner, host
         self.links: list[Link] = []
-        self.crossing: dict[bytes, float] = {}  # given up on connections that have ended, since when
+        # given up on connections that have ended, since when: of those, on ones that had just spoken junk
+        self.given_up: dict[bytes, float] = {}
+        self.cut: dict[bytes, float] = {}
         self.closed = False
 
     def submit(self, job: Job) -> None:
         """Put a job where few are, else open a connection beside them; in a crowd fill the first."""
         # an id that was given up goes where its KILL went: on another connection the new PULL may
         # overtake the KILL, and the server then has one id twice; the same holds for a connection's close.
-        # A connection that is opened only now comes up after either has arrived
-        name, link, crowded = job.name, None, None
-        crosses = self._crosses(name)
-        if crosses == STUCK:
+        # A server that hangs reads neither before it goes on, so it is not asked again. One that has just
+        # spoken junk reads on: a connection that is opened only now comes up after the close has arrived
+        name, link, crowded, now = job.name, None, None, now_ms()
+        killing = [each for each in self.links if now - each.killed.get(name, -math.inf) < KILLED_MS]
+        if now - self.given_up.get(name, -math.inf) < KILLED_MS or len(killing) > 1:
             return job.broken("skipped")
-        for each in self.links:
-            if name in each.killed and each.keeps(name):
-                link = each
-                break
-            if crosses:
-                continue
+        if killing:
+            return killing[0].submit(job) if killing[0].keeps(name) else job.broken("skipped")
+        fresh_only = now - self.cut.get(name, -math.inf) < self.owner.times[0]
+        for each in () if fresh_only else self.links:
             if link is None and each.up and len(each.open) + len(each.waiting) < FEW and each.room(name):
                 link = each
             elif crowded is None and each.room(name):
@@ -56,15 +56,6 @@
         else:
             link.submit(job)
 
-    def _crosses(self, name: bytes) -> str:
-        """Tell whether word that an attempt of this name was given up may still be under way, or not out."""
-        now, way_ms = now_ms(), self.owner.times[0]  # nothing is longer under way than a connection comes up
-        killing = [link for link in self.links if name in link.killed and not link.keeps(name)]
-        if any(link.stream.size for link in killing):
-            return STUCK
-        since = max([self.crossing.get(name, -math.inf), *(link.killed[name] for link in killing)])
-        return UNDER_WAY if now - since < way_ms else ""
-
     def _opens(self, needed: bool) -> bool:
         if self.closed or self.owner.count >= self.owner.most:
             return False
@@ -80,9 +71,12 @@
         if link.stream.code and link in self.links:  # a spoiled one may tell twice
             self.links.remove(link)
             self.owner.count -= 1
-            now, way_ms = now_ms(), self.owner.times[0]
-            given_up = {**self.crossing, **link.killed, **link.given_up}
-            self.crossing = {name: at for name, at in given_up.items() if now - at < way_ms}
+            now, names = now_ms(), link.given_up
+            for told in (self.given_up, self.cut):
+                for name in [name for name, at in told.items() if now - at >= KILLED_MS]:
+                    del told[name]
+            self.given_up |= link.killed
+            (self.cut if link.stream.code == "junk" else self.given_up).update(names)
         for job in unwritten:
             job.moves += 1
             if job.moves > MOST_MOVES:  # guards against a server that resets whatever is opened
--- a/tests/ends/test_ends_links.py
+++ b/tests/ends/test_ends_links.py
@@ -61,17 +61,35 @@
         spare, _ = self.written(Job(b"b"))
         link.cancel(first)
         again = Job(b"a")
-        fresh, _ = self.written(again)  # on one that comes up only now, after the KILL has arrived
-        self.assertNotIn(fresh, (link, spare))
-        fresh.cancel(again)
-        fresh.doubtful = True
-        spare.killed.clear()
-        for each in (link, fresh):
-            each.killed[b"a"] = now_ms() - CONNECT_MS - 1.0  # both KILLs have long arrived
+        self.pool.submit(again)
+        self.assertEqual(again.ends, ["skipped"], "which proves that it never ran")
+        self.assertEqual(len(self.pool.links), 2, "nor on a fresh one: a server that hangs may read it first")
+        link.killed[b"a"] = now_ms() - link_module.KILLED_MS - 1.0  # long ago
         later = Job(b"a")
         self.pool.submit(later)
         self.until(lambda: spare.open.get(b"a") is later)
 
+    def test_the_same_id_goes_behind_its_kill_on_the_same_connection(self) -> None:
+        first, again = Job(b"a"), Job(b"a")
+        link, server = self.written(first)
+        link.cancel(first)
+        self.pool.submit(again)
+        self.until(lambda: link.open.get(b"a") is again)
+        reader, got = resp.RespReader(), list[list[bytes]]()
+        while len(got) < 3:
+            got += reader.feed(server.recv(65_536))
+        self.assertEqual([items[0] for items in got], [b"PULL", b"KILL", b"PULL"])
+
+    def test_after_a_close_in_silence_the_id_is_not_asked_of_that_server_again(self) -> None:
+        """salas-remotas, herd+mass: a cache that hung read both when it went on, and had two copies."""
+        first = Job(b"a")
+        link, _ = self.written(first)
+        link.close("stuck")
+        self.until(lambda: bool(first.ends))
+        again = Job(b"a")
+        self.pool.submit(again)
+        self.assertEqual(again.ends, ["skipped"])
+
     def test_a_kill_that_can_not_be_written_does_not_count_as_arrived(self) -> None:
         first = Job(b"a")
         link, _ = self.written(first)
