--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 	.venv/bin/python -m pytest
 
 lint: build
+	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
 	.venv/bin/mypy
 
--- a/hitchtiller/codec/bus.py
+++ b/hitchtiller/codec/bus.py
@@ -34,9 +34,7 @@
     if state >= len(STATES) or zone >= len(zones) or kind >= len(kinds):
         raise BadBus(f"record of {host_id(number)}")
     units = max(weight / 1000.0, 1e-6)
-    member = api.Member(
-        host_id(number), zones[zone], kinds[kind], STATES[state], float(started), units, cell
-    )
+    member = api.Member(host_id(number), zones[zone], kinds[kind], STATES[state], float(started), units, cell)
     return Listed(member, (".".join(map(str, ip)), port))
 
 
--- a/hitchtiller/decide.py
+++ b/hitchtiller/decide.py
@@ -13,27 +13,24 @@
 
 from hitchtiller import interface as api
 from hitchtiller.records import Attempt, Held, Node, blend, mix, put
+from hitchtiller.routing.blame import BLAME, CLEAR, EJECT_AT, UNTOLD_FILL, ejection_ms
 from hitchtiller.routing.capacity import Capacity
 from hitchtiller.routing.cold import ColdGuard
+from hitchtiller.routing.directory import ENTRY_MS, Directory
+from hitchtiller.routing.popularity import HEAT_MS, Popularity, caches_for, keep_rank
+from hitchtiller.routing.purges import PurgeLog
 from hitchtiller.routing.sizes import Sizes
 
 # Ordinary path
-WIDEN_AT = (0.05, 0.15)  # share of a cache's link from which an object gets two, three: balance or copies
-HEAT_MS = 10_000.0  # memory of the counter of asked objects: steady or quick widening
-KEEP_AT = (1.3, 4.0)  # heat from which a copy is kept at rank two, three: one-offs push nothing out
-TABLE, HOLDERS = 4096, 4  # entries in each table, caches listed for an object: memory or sight of the tail
-ENTRY_MS, MOVED_MS = 10_000.0, 15_000.0  # a listed cache is forgotten; a change is over: look-ups or fills
+TABLE = 4096  # entries in each table: memory or sight of the tail
+MOVED_MS = 15_000.0  # a change of caches is over: look-ups or fills
 PEER_WAIT = 0.08  # share of the aim spent on waiting for home: latency or sibling fills
 AGAIN_MS = 500.0  # wait before a silent home router, or discovery, is asked again
 # Guards
 ORIGIN = 24  # fills straight from the origin at once, of all gateways together (one each at the least)
 MARGIN_MS = 100.0  # kept from the ends of windows: clocks and ways
 # Health
-BLAME = {"err": 0.25, "econnreset": 0.25, "econnrefused": 0.4, "busy": 0.2, "silence": 0.3, "slow": 0.15,
-         "doubt": 0.1}  # an error that may be the request's own fault
 MOST_ERRORS = 3  # errors from which on it is: tries or load
-CLEAR, UNTOLD_FILL = 0.8, 0.3  # what an answer leaves of the blame; share of fills, where that is untold
-EJECT_AT, EJECT_MS = 0.55, (1_500.0, 12_000.0)  # blame at which a server is left out; first, longest time
 OVERDUE, SWEEP_MS = (400.0, 2.0), 50.0  # overdue after this and so many times its work; how often to look
 STILL = 2.0, 0.5  # times its aim, share of its time, until a fill's silence is a sign of its connection
 # Further attempts
@@ -50,19 +47,19 @@
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         """Start with nothing but the settings."""
-        self.s, self.rng = settings, Random(seed)
-        self.now, self.acts = 0.0, list[api.Action]()
+        self.settings, self.rng = settings, Random(seed)
+        self.now, self.actions = 0.0, list[api.Action]()
         self.nodes, self.caches, self.parents = dict[str, Node](), list[Node](), list[Node]()
         self.origins, self.weight = list[Node](), 0.0  # of the zone's caches together
         self.held, self.flights = dict[int, Held](), dict[tuple[int, int], Attempt]()
-        self.heat: dict[tuple[int, int], tuple[float, float]] = {}
-        self.slice: dict[tuple[int, int], tuple[int, dict[str, float]]] = {}  # my part of the directory
-        self.told: dict[tuple[int, int], tuple[str, float]] = {}
+        self.popularity = Popularity()
+        self.directory = Directory()  # my slice of it
+        self.reported: dict[tuple[int, int], tuple[str, float]] = {}
         self.waiting: dict[tuple[int, int], list[int]] = {}
         self.home_of: Callable[[int], int] = lambda hashed: hashed % settings.group_size  # or by membership
         self.present: Callable[[], float] = lambda: 1.0  # share of the gateways in service, by membership
-        self.deaf: dict[int, float] = {}  # home routers that did not answer, until when
-        self.purges: dict[tuple[str, int], float] = {}
+        self.silent_homes: dict[int, float] = {}  # home routers that did not answer, until when
+        self.purges = PurgeLog()
         self.orders: dict[int, tuple[list[Node], list[Node]]] = {}  # of caches and parents, by hash
         self.sizes = Sizes(settings)
         self.capacity, self.mean = Capacity(settings), self.sizes.mean
@@ -83,16 +80,16 @@
 
     def handle(self, event: api.Event, now_ms: float) -> list[api.Action]:
         """Decide on one event; the actions are to be carried out in this order."""
-        self.now, self.acts = now_ms, []
+        self.now, self.actions = now_ms, []
         self.handlers[type(event)](event)
-        return self.acts
+        return self.actions
 
     def on_members(self, event: api.Members) -> None:
         """Follow the list; what a whole list lacks is gone."""
         if not self.nodes:
-            self.acts.append(api.SetTimer(SWEEP_MS, "sweep"))
-        if self.s.asks_discovery and (event.failed or not self.nodes):
-            self.acts.append(api.SetTimer(AGAIN_MS * event.failed, "watch"))
+            self.actions.append(api.SetTimer(SWEEP_MS, "sweep"))
+        if self.settings.asks_discovery and (event.failed or not self.nodes):
+            self.actions.append(api.SetTimer(AGAIN_MS * event.failed, "watch"))
         listed = {member.server for member in event.members}
         lost = [n.m for n in self.nodes.values() if event.whole and n.m.server not in listed]
         for member in [*event.members, *(replace(m, state="DELETED") for m in lost)]:
@@ -107,10 +104,10 @@
                 node.joined_ms, node.trial = self.now, False
             node.m = member
         self.nodes = {name: n for name, n in self.nodes.items() if n.m.state != "DELETED"}
-        mine, tiers = self.s.my_zone, (self.s.parent_kind, self.s.origin_kind, None)
+        mine, tiers = self.settings.my_zone, (self.settings.parent_kind, self.settings.origin_kind, None)
         self.caches = [n for n in self.nodes.values() if n.m.zone == mine and n.m.kind not in tiers]
-        self.parents = [n for n in self.nodes.values() if n.m.kind == self.s.parent_kind]
-        self.origins = [n for n in self.nodes.values() if n.m.kind == self.s.origin_kind]
+        self.parents = [n for n in self.nodes.values() if n.m.kind == self.settings.parent_kind]
+        self.origins = [n for n in self.nodes.values() if n.m.kind == self.settings.origin_kind]
         for name, links in self.capacity.of(n.m for n in self.nodes.values()).items():
             self.nodes[name].link, self.nodes[name].sure = links
         self.weight = sum(n.link for n in self.caches)
@@ -121,9 +118,9 @@
     def cold_rate(self, node: Node) -> float:
         """Cold guard: work I may add a ms to a server that started lately, less the one attempt above it."""
         start = max(node.m.started_ms, node.refused_ms)  # a refusal: its process was gone, back cold
-        if node.m.kind == self.s.origin_kind or not start:
+        if node.m.kind == self.settings.origin_kind or not start:
             return math.inf
-        parent, mean = node.m.kind == self.s.parent_kind, max(self.mean.values())
+        parent, mean = node.m.kind == self.settings.parent_kind, max(self.mean.values())
         return self.cold.rate(parent, self.now - start, node.sure, node.salt, mean, self.present())
 
     def admits(self, node: Node) -> bool:
@@ -137,7 +134,7 @@
 
     def purged(self, key: int, group: int) -> float:
         """Purge guard: no copy from before this time will do."""
-        return max(self.purges.get(("key", key), -math.inf), self.purges.get(("group", group), -math.inf))
+        return self.purges.latest(key, group)
 
     def oldest(self, held: Held, stage: str) -> float:
         """Bound a copy's age by purges and its fresh time; with the grace where no fill would follow."""
@@ -147,7 +144,7 @@
 
     def may_send(self, held: Held, node: Node) -> bool:
         """Deadline and effects guard: no send past the end, none that could repeat an effect."""
-        if held.out or held.shots >= self.s.max_attempts or self.now >= held.ask.deadline_ms:
+        if held.out or held.shots >= self.settings.max_attempts or self.now >= held.ask.deadline_ms:
             return False
         return self.may_repeat(held, node)
 
@@ -196,7 +193,7 @@
         if not self.in_time(held, node):  # exception: the rest of the zone before a refusal
             node = min(able, key=lambda n: (n.load_ms + held.work) * n.pace.now(self.now) / n.link)
         moved = width > 1 or node is not order[0] or self.now < node.joined_ms + MOVED_MS
-        return node, moved and not held.cls.write and self.s.siblings != "none"
+        return node, moved and not held.cls.write and self.settings.siblings != "none"
 
     def around(self) -> float:
         """Give the gateways of my zone in service: crowds are guessed by it, never a rule's share."""
@@ -222,22 +219,22 @@
         for node in [n for n in wide if n.m.zone == self.hub][:1] + wide:
             if not held.cls.write and self.admits(node):
                 return node
-        most = max(1, ORIGIN // self.s.group_size)  # 24 each from 40 gateways shared a thin link: none ended
+        most = max(
+            1, ORIGIN // self.settings.group_size
+        )  # 24 each from 40 gateways shared a thin link: none ended
         return next((n for n in self.origins if held.cls.write or n.flights < most), None)
 
     def count(self, held: Held) -> int:
         """Count a request for an object: its rank when kept, and how many caches should share it."""
-        old, at = self.heat.get(held.item, (0.0, self.now))
-        heat = old * math.exp((at - self.now) / HEAT_MS) + 1.0
-        put(self.heat, held.item, (heat, self.now), TABLE)
-        held.keep = 1 + sum(heat >= bound for bound in KEEP_AT)
+        heat = self.popularity.count(held.item, self.now)
+        held.keep = keep_rank(heat)
         link = self.weight / max(1, len(self.caches)) or 1.0
         share = heat * held.work * self.around() / HEAT_MS / link
-        return 1 + sum(heat > 3.0 and share > bound for bound in WIDEN_AT)
+        return caches_for(heat, share)
 
     def on_request(self, ask: api.Request) -> None:
         """Take a request and send its first attempt."""
-        cls = self.s.classes[ask.class_name]
+        cls = self.settings.classes[ask.class_name]
         work, known = self.sizes.of(ask)
         hashed = mix(ask.key, ask.part)
         item, home = (ask.key, ask.part), self.home_of(hashed)
@@ -252,11 +249,11 @@
         if node is None:  # straight up where allowed and the zone's link has room: else all fills would jam
             out = len(self.flights) - sum(n.asked for n in self.caches)
             fits = held.cls.write or self.suits(held, (1 + self.around() * out) / self.room)
-            up = self.source(held) if self.s.direct and fits else None
+            up = self.source(held) if self.settings.direct and fits else None
             self.send(held, up, up, "fill")
         elif not self.in_time(held, node):  # exception: beside stuck fills a hit may be in time
             self.send(held, node if self.in_time(held, node, stuck=False) else None, node, "only")
-        elif look and held.shots + 2 < self.s.max_attempts:
+        elif look and held.shots + 2 < self.settings.max_attempts:
             self.send(held, node, node, "look")
         else:
             source = self.source(held)
@@ -287,11 +284,14 @@
             server.debt_ms += self.mean[held.cls.name]
         held.shots, held.out = held.shots + 1, True
         keep, left = 0 if held.cls.write else held.keep, held.ask.deadline_ms - self.now
-        names, how = (node.m.server, source.m.server), (self.s.joins, stage == "sibling", stage == "fill")
+        names, how = (
+            (node.m.server, source.m.server),
+            (self.settings.joins, stage == "sibling", stage == "fill"),
+        )
         overdue = OVERDUE[0] + OVERDUE[1] * held.work
         if source is not node:  # it may wait for its source, and a thin connection carries nothing else
             overdue = max(STILL[0] * aim, STILL[1] * held.cls.deadline_ms)
-        self.acts.append(api.Get(held.ask.id, *names, left, keep, self.oldest(held, stage), *how, overdue))
+        self.actions.append(api.Get(held.ask.id, *names, left, keep, self.oldest(held, stage), *how, overdue))
 
     def book(self, attempt: Attempt, sign: int) -> None:
         """Add an attempt to its cache's and source's work, or take it off."""
@@ -305,10 +305,13 @@
         """Answer finally, at once; effects guard: a refusal says that trying again is harmless."""
         if held.out or self.held.pop(held.ask.id, None) is None:
             return
-        cls, wait = held.cls, min(RETRY_AFTER_MS * (0.5 + self.rng.random()), self.s.max_retry_after_ms)
+        cls, wait = (
+            held.cls,
+            min(RETRY_AFTER_MS * (0.5 + self.rng.random()), self.settings.max_retry_after_ms),
+        )
         anywhere = cls.effect == "repeatable" or (cls.effect == "by_key" and cls.key_scope == "all")
-        refusal = api.Refuse(held.ask.id, wait if self.s.retry_after else 0.0)
-        self.acts.append(refusal if held.ran is None or anywhere else api.Fail(held.ask.id))
+        refusal = api.Refuse(held.ask.id, wait if self.settings.retry_after else 0.0)
+        self.actions.append(refusal if held.ran is None or anywhere else api.Fail(held.ask.id))
 
     def on_outcome(self, event: api.Outcome) -> None:
         """Book an attempt's end, then finish the request or send the next attempt."""
@@ -334,11 +337,11 @@
 
     def served(self, held: Held, node: Node) -> None:
         """Tell home of the kept copy, not oftener than its entry needs."""
-        known, when = self.told.get(held.item, ("", 0.0))
+        known, when = self.reported.get(held.item, ("", 0.0))
         due = known != node.m.server or self.now - when > ENTRY_MS / 2
-        near = node.m.zone == self.s.my_zone and not held.cls.write
-        if due and near and self.s.siblings != "none":
-            put(self.told, held.item, (node.m.server, self.now), TABLE)
+        near = node.m.zone == self.settings.my_zone and not held.cls.write
+        if due and near and self.settings.siblings != "none":
+            put(self.reported, held.item, (node.m.server, self.now), TABLE)
             self.tell(held.home, api.PeerNote("kept", *held.item, node.m.server, max(0, held.ask.group)))
 
     def further(self, held: Held, attempt: Attempt, status: str) -> None:
@@ -370,7 +373,7 @@
         node = held.looked
         if node is None or node in held.avoid or not (self.usable(node) and self.admits(node)):
             self.start(held, 1)
-        elif sibling and sibling is not node and self.may_fill(sibling, self.s.my_zone):
+        elif sibling and sibling is not node and self.may_fill(sibling, self.settings.my_zone):
             self.send(held, node, sibling, "sibling")
         else:
             source = self.source(held)
@@ -395,7 +398,7 @@
             node.pace.hear(self.now, event.latency_ms / held.work)
         if event.status in ("done", "enoent"):
             self.clear(node)
-            unknown = self.s.notes == "none" and event.status == "done"
+            unknown = self.settings.notes == "none" and event.status == "done"
             if source is not node and (event.note in (2, 3) or unknown):
                 self.clear(source, CLEAR**UNTOLD_FILL if unknown else CLEAR)
             for failed in held.errors if held and event.status == "done" else ():
@@ -428,17 +431,21 @@
     def blame(self, node: Node, share: float) -> None:
         """Blame a server and leave it out, but not where its likes are blamed too: the cause is shared."""
         node.blame += (1.0 - node.blame) * share
-        if node.blame < EJECT_AT or self.now < node.out_until or node.m.kind == self.s.origin_kind:
+        if node.blame < EJECT_AT or self.now < node.out_until or node.m.kind == self.settings.origin_kind:
             return
-        alike = [n for n in self.nodes.values() if n.m.state == "SERVING" and n is not node
-                 and (n in self.parents if node in self.parents else n.m.zone == node.m.zone)]
+        alike = [n for n in self.nodes.values() if n is not node and self.alike(n, node)]
         if 2 * sum(self.now < n.out_until or n.blame > EJECT_AT / 2 for n in alike) >= len(alike):
             return
         node.ejections, node.trial = node.ejections + 1, True
-        node.out_until = self.now + min(EJECT_MS[1], EJECT_MS[0] * 2 ** (node.ejections - 1))
-        self.acts.append(api.Log(f"left out {node.m.server}, {node.ejections} in a row"))
+        node.out_until = self.now + ejection_ms(node.ejections)
+        self.actions.append(api.Log(f"left out {node.m.server}, {node.ejections} in a row"))
         stuck = [shot for shot, a in self.flights.items() if a.node is node or (a.source is node and a.late)]
-        self.acts += [api.Cancel(*shot) for shot in stuck if self.s.cancel]  # to find another way
+        self.actions += [api.Cancel(*shot) for shot in stuck if self.settings.cancel]  # to find another way
+
+    def alike(self, other: Node, node: Node) -> bool:
+        """Tell whether another server in service fails for the same causes: a parent, or of its zone."""
+        kin = other in self.parents if node in self.parents else other.m.zone == node.m.zone
+        return kin and other.m.state == "SERVING"
 
     def slow(self, attempt: Attempt) -> None:
         """Ask a source for less after a fill that missed its aim, once for each."""
@@ -460,33 +467,32 @@
     def on_timer(self, event: api.TimerDue) -> None:
         """Look for overdue work and drop old purges; ask discovery again; stop waiting for a home router."""
         if event.token == "watch":
-            self.acts.append(api.Watch())
+            self.actions.append(api.Watch())
         elif event.token != "sweep":
             held = self.held.get(int(event.token)) if event.token.isdecimal() else None
             if held and held.ask.id in self.waiting.get(held.item, []):  # not an older wait's timer
-                self.deaf[held.home] = self.now + AGAIN_MS
+                self.silent_homes[held.home] = self.now + AGAIN_MS
                 self.go_on(held.item, None)
         else:
-            self.acts.append(api.SetTimer(SWEEP_MS, "sweep"))
+            self.actions.append(api.SetTimer(SWEEP_MS, "sweep"))
             prompt, self.swept = self.now - self.swept < 4.0 * SWEEP_MS, self.now
             for attempt in list(self.flights.values()) if prompt else ():  # else the lag is mine: answers
                 self.watch(attempt)  # may lie unread, and good servers would be left out for it
-            done = self.now - self.s.purge_done_ms - MARGIN_MS
-            self.purges = {name: made for name, made in self.purges.items() if made > done}
+            self.purges.forget_until(self.now - self.settings.purge_done_ms - MARGIN_MS)
 
     # Directory
 
     def ask_home(self, held: Held, asking: str) -> None:
         """Ask home for a holder and wait a small share of the aim; not near the deadline."""
         wait, left = PEER_WAIT * held.cls.aim_ms, held.ask.deadline_ms - self.now
-        if held.home == self.s.my_number:
-            self.fill(held, self.candidate(held.item, self.s.my_zone, asking))
-        elif not self.s.peers or self.now < self.deaf.get(held.home, 0.0) or left < 3.0 * wait:
+        if held.home == self.settings.my_number:
+            self.fill(held, self.candidate(held.item, self.settings.my_zone, asking))
+        elif not self.settings.peers or self.now < self.silent_homes.get(held.home, 0.0) or left < 3.0 * wait:
             self.fill(held, None)
         else:
             self.waiting.setdefault(held.item, []).append(held.ask.id)
             self.tell(held.home, api.PeerNote("ask", *held.item, asking, self.zone))
-            self.acts.append(api.SetTimer(wait, str(held.ask.id)))
+            self.actions.append(api.SetTimer(wait, str(held.ask.id)))
 
     def go_on(self, item: tuple[int, int], sibling: Node | None) -> None:
         """Go on with the requests that waited for a home router."""
@@ -496,45 +502,42 @@
 
     def may_fill(self, node: Node, zone: str) -> bool:
         """Tell whether a zone's caches may fill from this one: allowed, in service, warm."""
-        near = self.s.siblings == "any" or node.m.zone == zone
+        near = self.settings.siblings == "any" or node.m.zone == zone
         return near and self.usable(node) and self.cold_rate(node) == math.inf
 
     def candidate(self, item: tuple[int, int], zone: str, asking: str) -> Node | None:
         """Take the next listed holder, round robin; old entries, of before a purge or restart, drop."""
-        group, holders = self.slice.get(item, (0, {}))
-        for name, told in list(holders.items()):
+        purged = self.purged(item[0], self.directory.group(item))
+        for name, listed in self.directory.holders(item, purged, self.now):
             node = self.nodes.get(name)
-            if node is None or told <= max(self.purged(item[0], group), node.joined_ms, self.now - ENTRY_MS):
-                del holders[name]
+            if node is None or listed <= node.joined_ms:
+                self.directory.drop(item, name)
             elif name != asking and self.may_fill(node, zone):
-                holders[name] = holders.pop(name)
+                self.directory.name(item, name)
                 return node
         return None
 
     def tell(self, peer: int, note: api.PeerNote) -> None:
         """Send a note to a peer; to myself without a message."""
-        if peer == self.s.my_number:
+        if peer == self.settings.my_number:
             self.on_peer(api.PeerMessage(peer, note))
-        elif self.s.peers:
-            self.acts.append(api.Tell(peer, note))
+        elif self.settings.peers:
+            self.actions.append(api.Tell(peer, note))
 
     def on_peer(self, event: api.PeerMessage) -> None:
         """Take a query or answer, a kept copy for my slice, or word that a listed cache lacks the object."""
-        note, zones = event.note, self.s.zones
+        note, zones = event.note, self.settings.zones
         item, node = (note.key, note.part), self.nodes.get(note.server)
-        holders = self.slice.get(item, (0, {}))[1]
         if note.kind == "ask" and note.number < len(zones):
             found = self.candidate(item, zones[note.number], note.server)
             self.tell(event.sender, api.PeerNote("holder", *item, found.m.server if found else ""))
         elif note.kind == "holder":
             self.go_on(item, node)
         elif note.kind == "lacks":
-            holders.pop(note.server, None)
+            self.directory.drop(item, note.server)
         elif note.kind == "kept" and node is not None:
-            put(holders, note.server, self.now, HOLDERS)
-            put(self.slice, item, (note.number, holders), TABLE)
+            self.directory.add(item, note.number, note.server, self.now)
 
     def on_purged(self, event: api.Purged) -> None:
         """Note a purge; it bounds the age of copies, and of directory entries."""
-        name = ("group", event.group) if event.key is None else ("key", event.key)
-        self.purges[name] = max(self.now - event.age_ms, self.purges.get(name, -math.inf))
+        self.purges.hear(event.key, event.group, self.now - event.age_ms)
--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -91,11 +91,11 @@
         self.events: deque[api.Event] = deque()
         self.busy = False
         self.copies: Copies | None = None
-        self.effects = Effects(router.s.classes)
+        self.effects = Effects(router.settings.classes)
         self.behind: Callable[[], bool] = bool  # tells whether news may have been missed
         self.purge_ears: list[Callable[[Ban], object]] = []
         self.ended_one: Callable[[Exchange, Answer], None] | None = None  # hears of each final answer
-        self.stats = Stats(router.s.classes)
+        self.stats = Stats(router.settings.classes)
         self.stats.levels = {
             "in_flight": lambda: len(self.open),
             "station_caches_known": lambda: len(router.nodes),
@@ -192,7 +192,7 @@
 
     def _worth(self, what: str, exchange: Exchange) -> None:
         """Count a request's worth under what became of it; `served` is told apart by its class's aim."""
-        settings, ask = self.router.s, exchange.ask
+        settings, ask = self.router.settings, exchange.ask
         if (cls := settings.classes.get(ask.class_name)) is None:
             return
         if what == SERVED:
--- a/hitchtiller/ops/members.py
+++ b/hitchtiller/ops/members.py
@@ -39,7 +39,7 @@
         """Join it to the peer socket and to the homes of directory entries."""
         self.sched, self.engine, self.peers, self.period_ms = sched, engine, peers, period_ms
         self.bus, self.answers, self.answered_ms = bus, 0, now_ms()
-        settings, begun = engine.router.s, now_ms()
+        settings, begun = engine.router.settings, now_ms()
         self.me, size = settings.my_number, settings.group_size
         mark = zlib.crc32(f"{fleet} {size} {' '.join(settings.zones)}".encode())
         self.detector = Detector(self.me, size, int(begun), mark, period_ms, Random(int(begun)), begun)
@@ -113,9 +113,9 @@
                 evidence.hears(mark, node.answered_ms)
         for node in (marks[mark] for mark in evidence.verdicts(now) if mark in marks):
             if now >= node.out_until and not self.engine.busy:
-                router.now, router.acts = now, []
+                router.now, router.actions = now, []
                 router.blame(node, TRUST)
-                for action in router.acts:
+                for action in router.actions:
                     self.engine.act(action)
                 if now < node.out_until:
                     logger.info("server {} left out on the word of others", node.m.server)
@@ -143,12 +143,12 @@
     def hand_over(self, before: set[int], after: set[int], to: int = -1) -> None:
         """Tell new homes of the directory entries that I held and they hold from now on."""
         router, handed = self.engine.router, 0
-        for item, home in self.homes.moved(router.slice, before, after, to):
-            group, holders = router.slice[item]
-            name, told = next(reversed(holders.items()), ("", 0.0))
-            if told > router.purged(item[0], group) and home != self.me:
+        for item, home in self.homes.moved(router.directory.entries, before, after, to):
+            entry = router.directory.entries[item]
+            name, told = next(reversed(entry.holders.items()), ("", 0.0))
+            if told > router.purged(item[0], entry.group) and home != self.me:
                 handed += 1
-                self.peers.tell(home, PeerNote("kept", *item, name, max(0, group)))
+                self.peers.tell(home, PeerNote("kept", *item, name, max(0, entry.group)))
         if handed:
             self.handed += handed
             logger.info("handed {} directory entries over", handed)
--- a/hitchtiller/repo/fetch.py
+++ b/hitchtiller/repo/fetch.py
@@ -72,7 +72,7 @@
         """Learn from other classes' answers whether the foreground keeps up."""
         if exchange.ask.background:
             return
-        now, cls = now_ms(), self.engine.router.s.classes[exchange.ask.class_name]
+        now, cls = now_ms(), self.engine.router.settings.classes[exchange.ask.class_name]
         in_time = answer.kind == SERVED and now - exchange.taken_ms <= cls.aim_ms
         self.give_way.foreground(in_time, now)
 
@@ -94,7 +94,7 @@
             let_in = self.sched.park()
             timer.cancel()
             if not let_in:
-                raise Refused(self.engine.router.s.max_retry_after_ms)
+                raise Refused(self.engine.router.settings.max_retry_after_ms)
         self.give_way.open += 1
 
     def _tired(self, task: greenlet) -> None:
@@ -104,7 +104,7 @@
 
     def one(self, source: Source, number: int) -> Piece:
         """Get one part, parking this greenlet; Refused or Failed where it does not come."""
-        cls = self.engine.router.s.classes[source.class_name]
+        cls = self.engine.router.settings.classes[source.class_name]
         begun = now_ms()
         until = begun + cls.deadline_ms
         self._enter(until)
--- a/hitchtiller/store/tier.py
+++ b/hitchtiller/store/tier.py
@@ -44,8 +44,8 @@
         self.engine, self.memory, self.proof, self.pace, self.steady = engine, memory, proof, pace, steady
         self.confirms = confirm
         self.purges = Purges()
-        self.plan = Plan(engine.router.s.classes, self.purges, proof)
-        self.joins = Joins(engine.router.s.max_attempts)
+        self.plan = Plan(engine.router.settings.classes, self.purges, proof)
+        self.joins = Joins(engine.router.settings.max_attempts)
         self.sketch = Sketch(1 << 16)
         self.disk: Disk | None = None
         self.held: dict[
@@ -326,7 +326,7 @@
             return
         if then is Then.SHARE:
             self.engine.finish(
-                exchange, answer or Answer(REFUSED, wait_ms=self.engine.router.s.max_retry_after_ms)
+                exchange, answer or Answer(REFUSED, wait_ms=self.engine.router.settings.max_retry_after_ms)
             )
         elif then is not Then.LEAD or not self._read(
             exchange, fingerprint(exchange.ask.key, exchange.ask.part)
--- a/standins/load.py
+++ b/standins/load.py
@@ -79,9 +79,7 @@
             await asyncio.sleep(self.pause_s)
 
     async def _connect(self, process: "Process") -> Terminal | None:
-        terminal = Terminal(
-            self.fleet.truth, self.fleet.verdicts, random.Random(self.rng.getrandbits(32))
-        )
+        terminal = Terminal(self.fleet.truth, self.fleet.verdicts, random.Random(self.rng.getrandbits(32)))
         try:
             await terminal.connect(process.port)
         except OSError:
--- a/standins/play.py
+++ b/standins/play.py
@@ -166,9 +166,7 @@
     return asyncio.run(Player(schedule, say).play())
 
 
-def shrink(
-    schedule: Schedule, fails: Callable[[Schedule], bool], most: int = 40
-) -> tuple[Schedule, int]:
+def shrink(schedule: Schedule, fails: Callable[[Schedule], bool], most: int = 40) -> tuple[Schedule, int]:
     """Leave steps out by halves, quarters and so on while it still fails; gives it and the plays needed."""
     steps, size, plays = schedule.steps, max(1, len(schedule.steps) // 2), 0
     while steps and plays < most:
--- a/tests/ends/test_ends_clients.py
+++ b/tests/ends/test_ends_clients.py
@@ -47,6 +47,7 @@
 
     def test_a_request_whose_client_left_behind_it_in_a_busy_turn_is_not_taken(self) -> None:
         """The end lay behind the request: it was sent on, and the end seen one lagging turn later."""
+
         def busy() -> None:
             self.other.sendall(request(1))  # both come while the loop does other work
             self.other.close()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -52,7 +52,7 @@
 
 def test_a_miss_fills_from_a_listed_sibling_then_from_the_parent(bench: Bench) -> None:
     spread(bench, 9)
-    bench.router.slice.clear()
+    bench.router.directory.entries.clear()
     bench.now = 100.0
     bench.give(api.PeerMessage(0, api.PeerNote("kept", 9, 0, "d0")))
     (look,) = gets(bench.ask(1, key=9, size_kb=400.0))
@@ -60,7 +60,7 @@
     assert fill.source == "d0" and fill.held_only and fill.server == look.server
     (parent,) = gets(bench.end(fill, "enoent", 1))
     assert parent.source in ("p0", "p1") and parent.server == look.server
-    assert "d0" not in bench.router.slice[9, 0][1]
+    assert "d0" not in bench.router.directory.entries[9, 0].holders
 
 
 def test_location_siblings_are_of_the_zone(bench: Bench) -> None:
@@ -93,7 +93,9 @@
         for get in gets(bench.ask(key, key=key, size_kb=1.0)):
             bench.end(get, "done", closed=True, note=2)
     router = bench.router
-    assert all(len(table) <= TABLE for table in (router.slice, router.heat, router.told))
+    assert all(
+        len(table) <= TABLE for table in (router.directory.entries, router.popularity.heat, router.reported)
+    )
     assert not router.held and not router.flights and not router.waiting
 
 
@@ -192,7 +194,7 @@
 
 def test_a_look_that_found_nothing_asks_a_jammed_source_for_no_fill(bench: Bench) -> None:
     spread(bench, 9)
-    bench.router.slice.clear()
+    bench.router.directory.entries.clear()
     (look,) = gets(bench.ask(1, key=9, size_kb=400.0))
     for node in bench.router.parents:
         node.fills.share = 1e-9
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -149,4 +149,6 @@
     world.pass_to(world.now + 5000.0)
     assert not world.open and not world.router.held and not world.router.waiting
     router = world.router
-    assert all(len(table) <= TABLE for table in (router.slice, router.heat, router.told))
+    assert all(
+        len(table) <= TABLE for table in (router.directory.entries, router.popularity.heat, router.reported)
+    )
