docs/CAPACITY.md, worked out from scale tests with hollow gateways (standins/scale)

Need: the operators plan with 2,300 gateways and want to know what fails first. Change: standins/scale measures hollow gateways (Router, reader of discovery, detectors on a virtual clock) and real processes at several sizes, fits power laws and prints the page; a test holds page and figures together.

--- /dev/null
+++ b/standins/scale/__main__.py
@@ -0,0 +1,136 @@
+"""`python -m standins.scale measure` takes the figures of docs/CAPACITY.md; `table` prints its tables.
+
+    python -m standins.scale measure --sizes 100,300,1000,2300 --seed 1 --json FILE
+    python -m standins.scale table FILE --gateways 2300 --purges 19
+
+Bad input gets one line and exit 2. The same seed gives the same counts; times are the machine's.
+"""
+
+import resource
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+
+import click
+from rich.console import Console
+from rich.progress import Progress
+
+from standins.scale import bounds, decisions, directory, membership, processes
+from standins.scale.plan import REFERENCE_GATEWAYS, Demand, demand_at
+from standins.scale.report import write_page
+from standins.scale.results import VERSION, BadResults, Run, Series, load, save
+
+GROUPS: dict[str, Callable[[int, int], dict[str, float]]] = {
+    "decisions": decisions.measure,
+    "directory": directory.measure,
+    "membership": membership.measure,
+    "bounds": bounds.measure,
+    "processes": processes.measure,
+}
+MOST_GATEWAYS = 10_000  # in one process, for memory and time
+DEFAULT_SIZES = "100,300,1000,2300"
+
+
+class Usage(click.ClickException):
+    """What was asked for makes no sense; one line, exit 2."""
+
+    exit_code = 2
+
+    def show(self, file: object = None) -> None:
+        """Write the line."""
+        print(f"scale: {self.message}", file=sys.stderr)
+
+
+def read_sizes(text: str) -> list[int]:
+    """Read the sizes, in order, each once."""
+    words = text.split(",")
+    if not all(word.strip().isdecimal() for word in words):
+        raise Usage(f"sizes {text!r}: whole numbers with commas between them, such as {DEFAULT_SIZES}")
+    sizes = sorted({int(word) for word in words})
+    if sizes[0] < 1 or sizes[-1] > MOST_GATEWAYS:
+        raise Usage(f"sizes {text!r}: from 1 to {MOST_GATEWAYS} gateways")
+    return sizes
+
+
+def read_groups(text: str) -> list[str]:
+    """Read the names of the groups of measures."""
+    names = [word.strip() for word in text.split(",")]
+    for name in names:
+        if name not in GROUPS:
+            raise Usage(f"measure {name!r} is not known; there are {', '.join(GROUPS)}")
+    return names
+
+
+def take(sizes: list[int], groups: list[str], seed: int, progress: Progress) -> Run:
+    """Take all figures."""
+    begun, found = time.monotonic(), dict[str, Series]()
+    task = progress.add_task("measuring", total=len(sizes) * len(groups))
+    for name in groups:
+        for size in sizes:
+            progress.update(task, description=f"{name} at {size}")
+            for measure, value in GROUPS[name](size, seed).items():
+                series = found.setdefault(measure, Series(measure, [], []))
+                series.sizes.append(size)
+                series.values.append(value)
+            progress.advance(task)
+    if "processes" in groups:
+        progress.update(task, description=f"{processes.COMMON} processes")
+        for measure, value in processes.common(seed).items():
+            found[measure] = Series(measure, [processes.COMMON], [value])
+    peak_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0
+    return Run(VERSION, seed, round(time.monotonic() - begun, 1), round(peak_mb), list(found.values()))
+
+
+@click.group()
+def main() -> None:
+    """Measure hollow and real gateways at several sizes, and print the tables of docs/CAPACITY.md."""
+
+
+@main.command()
+@click.option("--sizes", default=DEFAULT_SIZES, show_default=True, help="gateways, with commas between")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--only", default=",".join(GROUPS), show_default=True, help="groups of measures")
+@click.option("--json", "file", required=True, type=click.Path(dir_okay=False, path_type=Path))
+def measure(sizes: str, seed: int, only: str, file: Path) -> None:
+    """Measure at these sizes and write the figures to a file."""
+    wanted, groups = read_sizes(sizes), read_groups(only)
+    with Progress(console=Console(stderr=True), transient=True) as progress:
+        run = take(wanted, groups, seed, progress)
+    try:
+        save(run, file)
+    except OSError as error:
+        raise Usage(f"{file}: {error.strerror}") from None
+    print(f"{len(run.series)} measures at {wanted} in {run.seconds:.0f} s, {run.peak_mb:.0f} MB at the most")
+
+
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--gateways", default=REFERENCE_GATEWAYS, show_default=True)
+@click.option("--purges", type=float, help="a second")
+@click.option("--caches", type=int, help="station caches")
+@click.option("--requests", type=float, help="a second, of the whole fleet")
+@click.option("--objects", type=float)
+def table(
+    file: Path,
+    gateways: int,
+    purges: float | None,
+    caches: int | None,
+    requests: float | None,
+    objects: float | None,
+) -> None:
+    """Print the tables for a size from the figures of a run."""
+    given = {"purges": purges, "caches": caches, "requests": requests, "objects": objects}
+    changes = {name: value for name, value in given.items() if value is not None}
+    if gateways < 1 or any(value <= 0 for value in changes.values()):
+        raise Usage("gateways, purges, caches, requests and objects are numbers above 0")
+    base = Demand() if gateways == REFERENCE_GATEWAYS else demand_at(gateways)
+    try:
+        print(write_page(load(file), replace(base, **changes)), end="")  # type: ignore[arg-type]
+    except BadResults as error:
+        raise Usage(f"{file}: {error}") from None
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/scale/decisions.py
@@ -0,0 +1,82 @@
+"""State and processor time of one gateway's deciding code, by the size of the fleet that it belongs to."""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+
+from hitchtiller import interface as api
+from standins.scale.gateway import HollowGateway, list_frame, purge_frame
+from standins.scale.plan import Plan, demand_at
+
+OBJECTS = 6_000  # asked for, so that each bounded table is full
+ROUNDS = 200  # of what is timed
+BEGIN_MS = 1_000_000.0
+
+
+def settled(plan: Plan, rng: Random) -> HollowGateway:
+    """Make a gateway that knows the whole list and whose tables are full."""
+    gateway = HollowGateway(plan.settings(1 % plan.demand.gateways), 7)
+    gateway.discovery(list_frame(1, plan.members(), plan.zones, whole=True), BEGIN_MS)
+    holder = plan.caches()[0].server
+    for id in range(OBJECTS):
+        serve_one(gateway, id, rng.getrandbits(48), BEGIN_MS + id)
+        note = api.PeerNote("kept", rng.getrandbits(48), 0, holder, 1)
+        gateway.handle(api.PeerMessage(0, note), BEGIN_MS + id)
+    return gateway
+
+
+def serve_one(gateway: HollowGateway, id: int, key: int, now_ms: float) -> None:
+    """Take a request and have each of its attempts answered at once."""
+    actions = gateway.handle(api.Request(id, "files", key, now_ms + 5_000.0, 50.0, key % 256), now_ms)
+    for shot, get in enumerate(a for a in actions if isinstance(a, api.Get)):
+        gateway.finish(id, "served")
+        gateway.handle(api.Outcome(id, shot, get.server, "done", 5.0, True, 1), now_ms)
+
+
+def microseconds(rounds: int, call: Callable[[int], object]) -> float:
+    """Give the processor time of one call, in microseconds, over so many."""
+    begun = time.process_time()
+    for turn in range(rounds):
+        call(turn)
+    return 1e6 * (time.process_time() - begun) / rounds
+
+
+def measure(gateways: int, seed: int) -> dict[str, float]:
+    """Measure one gateway of a fleet of so many."""
+    plan, rng = Plan(demand_at(gateways)), Random(seed)
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    gateway = settled(plan, rng)
+    gc.collect()
+    state = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    members, now = plan.members(), BEGIN_MS + OBJECTS
+    whole = list_frame(1, members, plan.zones, whole=True)
+
+    def change(turn: int) -> None:
+        changed = replace(members[turn % len(members)], weight=8.0 + turn % 2)
+        gateway.discovery(list_frame(turn, [changed], plan.zones, whole=False), now)
+
+    def purge(turn: int) -> None:
+        gateway.discovery(purge_frame(turn, rng.getrandbits(48), 0, now), now)
+
+    def request(turn: int) -> None:
+        serve_one(gateway, OBJECTS + turn, turn, now)
+
+    changes = microseconds(ROUNDS, change)
+    starts = microseconds(5, lambda turn: gateway.discovery(whole, now)) / 1000.0
+    purges = microseconds(ROUNDS, purge)
+    sweep = microseconds(ROUNDS, lambda turn: gateway.handle(api.TimerDue("sweep"), now))
+    return {
+        "router_state": float(state),
+        "list_change": changes,
+        "list_whole": starts,
+        "list_bytes": float(len(whole)),
+        "purge_apply": purges,
+        "sweep": sweep,
+        "decide": microseconds(ROUNDS, request),
+    }
--- a/standins/scale/fleet.py
+++ b/standins/scale/fleet.py
@@ -47,7 +47,7 @@
         self.running: dict[int, HollowGateway] = {}
         self.stopped: dict[int, list[api.Event]] = {}  # what waits for a stopped process
         self.origin_fills = self.origin_peak = self.origin_done = 0
-        self.origin_ms = 0.0  # of all fills together
+        self.origin_ms, self.origin_at = 0.0, self.now  # of all fills together, counted up to then
         self.answers: Counter[str] = Counter()
         self.notes: Counter[str] = Counter()  # datagrams by kind
         self.note_bytes = 0
@@ -155,17 +155,22 @@
         """Count a fill at the origin until it is over, whoever still waits for it."""
         left, stuck = ask.deadline_ms - self.now, self.rng.random() < STUCK_SHARE
         took = left if stuck else min(left, self.rng.uniform(*FILL_MS))
-        self.origin_fills += 1
+        self.count_fills(1)
         self.origin_peak = max(self.origin_peak, self.origin_fills)
-        self.origin_ms += took
 
         def over() -> None:
-            self.origin_fills -= 1
+            self.count_fills(-1)
             self.origin_done += not stuck
             end("etimedout" if stuck else "done")
 
         self.at(self.now + took, over)
 
+    def count_fills(self, change: int) -> None:
+        """Count the fills at the origin, and the time that they have taken together until now."""
+        self.origin_ms += self.origin_fills * (self.now - self.origin_at)
+        self.origin_at = self.now
+        self.origin_fills += change
+
     def end(self, gateway: HollowGateway, get: api.Get, shot: int, status: str) -> None:
         """Tell a gateway how an attempt ended."""
         if self.running.get(gateway.number) is not gateway:
--- /dev/null
+++ b/standins/scale/processes.py
@@ -0,0 +1,125 @@
+"""Real gateway processes on loopback, for what hollow ones don't have: memory, start, sockets, datagrams.
+
+One process at a time is started with the list and the peers of a fleet of the wanted size; the servers of the
+list are stand-ins that nobody asks. Membership's datagrams are counted over COMMON processes with the fabric
+between them, and set against a hollow fleet of the same size.
+"""
+
+import asyncio
+import json
+import os
+import shutil
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from standins.fleet import Fleet
+from standins.parties import Bus
+from standins.rig import REPLAY_MS, ROOT, settings
+from standins.scale import membership
+from standins.scale.plan import Plan, demand_at
+from standins.truth import Truth
+
+COMMON = 10  # processes with membership
+READY, SERVING = "INFO n0 ready", "serving on"
+PATIENCE_S, IDLE_S = 20.0, 3.0
+QUIET_PERIODS, FLEET_PERIOD_MS = 15.0, 400.0
+PAGE = os.sysconf("SC_PAGE_SIZE")
+TICKS_A_SECOND = os.sysconf("SC_CLK_TCK")
+
+
+def resident_mb(pid: int) -> float:
+    """Give a process's resident memory."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE / 1e6
+
+
+def processor_s(pid: int) -> float:
+    """Give the processor time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_A_SECOND
+
+
+def sockets_of(pid: int) -> int:
+    """Count a process's sockets."""
+    links = [os.readlink(entry) for entry in Path(f"/proc/{pid}/fd").iterdir()]
+    return sum(link.startswith("socket:") for link in links)
+
+
+def hosts_of(plan: Plan) -> list[dict[str, Any]]:
+    """Write a fleet's list as the configuration holds it; zones and kinds are the example's."""
+    kinds = {"box": "box", "parent": "parent", "origin": "origin"}
+    return [
+        {"host": m.server, "dial": "127.0.0.1:9", "site": "north" if m.kind == "box" else "hub",
+         "class": kinds[m.kind], "block": 0, "health": "Ready", "share": 50, "born_ms": 0}
+        for m in plan.members()
+    ]  # fmt: skip
+
+
+async def alone(gateways: int) -> dict[str, float]:
+    """Start one gateway of a fleet of so many and look at it while it is idle."""
+    plan, truth = Plan(demand_at(gateways)), Truth()
+    bus = Bus(truth, hosts_of(plan), REPLAY_MS)
+    await bus.start()
+    setup = settings() | {"my_number": 0, "group_size": gateways}
+    setup["limits"] = setup.get("limits", {}) | {"peers": True}
+    setup["family_info"] |= {"instances_by_zone": [0, gateways]}
+    folder = Path(tempfile.mkdtemp(prefix="scale-"))
+    peers = [f"127.{1 + n // 65_536}.{n // 256 % 256}.{n % 256}:9" for n in range(gateways)]
+    peers[0] = "127.0.0.1:0"
+    config = {
+        "name": "n0", "listen": "127.0.0.1:0", "control": "127.0.0.1:0", "seed": "1",
+        "peer_listen": "127.0.0.1:0", "peers": peers, "limits": {"sockets": 512, "memory_mb": 256},
+        "bus": f"127.0.0.1:{bus.port}", "known": bus.begin(), "settings": setup,
+    }  # fmt: skip
+    path = folder / "config.json"
+    path.write_text(json.dumps(config))
+    env = {"PATH": os.environ["PATH"], "BALANCER_CONFIG": str(path), "TMPDIR": str(folder)}
+    begun = time.monotonic()
+    child = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "hitchtiller", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE
+    )
+    try:
+        assert child.stderr
+        async with asyncio.timeout(PATIENCE_S):
+            while READY not in (line := (await child.stderr.readline()).decode()):
+                if not line:
+                    raise RuntimeError("the gateway ended before it was ready")
+        started, used = time.monotonic() - begun, processor_s(child.pid)
+        await asyncio.sleep(IDLE_S)
+        return {
+            "process_memory": resident_mb(child.pid),
+            "process_start": started,
+            "process_sockets": float(sockets_of(child.pid)),
+            "process_idle": (processor_s(child.pid) - used) / IDLE_S,
+        }
+    finally:
+        child.kill()
+        await child.wait()
+        shutil.rmtree(folder, ignore_errors=True)
+
+
+async def datagrams() -> float:
+    """Count the datagrams that each of COMMON processes sends in a membership period."""
+    fleet = Fleet(COMMON, 1, period_ms=FLEET_PERIOD_MS)
+    try:
+        await fleet.start()
+        await fleet.until({n: {"ALIVE"} for n in range(COMMON)}, patience_s=60.0)
+        await asyncio.sleep(5.0 * FLEET_PERIOD_MS / 1000.0)
+        rows = len(fleet.fabric.history)
+        await asyncio.sleep(QUIET_PERIODS * FLEET_PERIOD_MS / 1000.0)
+        return (len(fleet.fabric.history) - rows) / COMMON / QUIET_PERIODS
+    finally:
+        await fleet.finish()
+
+
+def common(seed: int) -> dict[str, float]:
+    """Set a hollow fleet's datagrams against real processes', at one size."""
+    hollow = membership.steady(COMMON, seed)["members_datagrams"]
+    return {"common_hollow": hollow, "common_real": asyncio.run(datagrams())}
+
+
+def measure(gateways: int, seed: int) -> dict[str, float]:
+    """Measure one process of a fleet of so many."""
+    return asyncio.run(alone(gateways))
--- /dev/null
+++ b/standins/scale/report.py
@@ -0,0 +1,76 @@
+"""The tables of docs/CAPACITY.md: roles, events, and what breaks first, from the figures of one run."""
+
+from standins.scale.estimate import Figures, Row, Table, basis, number, write_table
+from standins.scale.events import events
+from standins.scale.plan import Demand
+from standins.scale.results import Run
+from standins.scale.roles import roles
+
+BREAKS_FROM = 0.5  # of its budget: what is listed as breaking first
+ORDER = {"rule": 0, "time": 1, "cost": 2}
+
+
+def breaks_first(tables: list[Table]) -> list[Row]:
+    """Give the rows that are near or past their budgets: rules first, then times, then costs, worst first."""
+    found: dict[str, Row] = {}
+    for table in tables:
+        for row in table.rows:
+            if row.ratio is not None and (row.rule or row.ratio >= BREAKS_FROM):
+                found.setdefault(row.name, row)
+    return sorted(found.values(), key=lambda row: (_rank(row), -(row.ratio or 0.0)))
+
+
+def _rank(row: Row) -> int:
+    """Put what is within its budget behind all that is past it."""
+    kind = "rule" if row.rule else row.kind
+    return ORDER[kind] + (0 if (row.ratio or 0.0) > 1.0 else len(ORDER))
+
+
+def write_breaks(rows: list[Row], gateways: int) -> str:
+    """Write the list as a table, with the size at which each crosses its budget."""
+    lines = [
+        "| what | kind | of budget | crosses its budget at | carried by |",
+        "| --- | --- | ---: | ---: | --- |",
+    ]
+    for row in rows:
+        kind, at = "rule or bound" if row.rule else row.kind, row.crossing(gateways)
+        crossing = f"{number(at)} gateways" if at else "any size"
+        crossing = crossing if at or (row.ratio or 0.0) > 1.0 else "not by size"
+        carried = "**none**" if row.mechanism == "none" else f"`{row.mechanism}`"
+        lines.append(f"| {row.name} | {kind} | {row.ratio:.2g} | {crossing} | {carried} |")
+    return "\n".join([*lines, ""])
+
+
+def write_fits(run: Run) -> str:
+    """Write each measure with its figures, exponent and residual."""
+    lines = ["| measure | at | figures | exponent | residual |", "| --- | --- | --- | ---: | ---: |"]
+    for series in run.series:
+        law = series.fitted()
+        slope = (f"{law.exponent:+.2f}", f"{law.residual:.2f}") if law else ("-", "-")
+        sizes, values = ", ".join(map(str, series.sizes)), ", ".join(map(number, series.values))
+        lines.append(f"| {series.measure} | {sizes} | {values} | {slope[0]} | {slope[1]} |")
+    return "\n".join([*lines, ""])
+
+
+def write_comparison(run: Run) -> str:
+    """Set the hollow figure against the real processes' at their common size."""
+    hollow, real = run.of("common_hollow"), run.of("common_real")
+    apart = hollow.values[0] / real.values[0] - 1.0
+    return (
+        f"At {real.sizes[0]} gateways a hollow one sends {hollow.values[0]:.2f} datagrams of membership a "
+        f"period, a real process {real.values[0]:.2f}: the hollow figure is {apart:+.0%} off.\n"
+    )
+
+
+def write_page(run: Run, demand: Demand) -> str:
+    """Write all tables for a size."""
+    figures = Figures(run, demand.gateways)
+    by_role, by_event = roles(figures, demand), events(figures, demand)
+    parts = ["### What breaks first", "", write_breaks(breaks_first(by_role + by_event), demand.gateways)]
+    parts += ["### Roles", "", *(write_table(table) for table in by_role)]
+    parts += ["### Events", "", *(write_table(table) for table in by_event)]
+    parts += ["### Measures and fits", "", write_fits(run), write_comparison(run)]
+    return "\n".join(parts)
+
+
+__all__ = ["basis", "breaks_first", "write_page"]
--- /dev/null
+++ b/standins/scale/roles.py
@@ -0,0 +1,24 @@
+"""The tables of all roles of the fleet, in the order of the page."""
+
+from standins.scale.estimate import Figures, Table
+from standins.scale.plan import Demand
+from standins.scale.roles_gateway import gateway_control, gateway_data, home_router, member, subscriber
+from standins.scale.roles_servers import discovery, operator, origin, parent, station_cache
+
+ROLES = (
+    gateway_data,
+    gateway_control,
+    home_router,
+    member,
+    subscriber,
+    discovery,
+    station_cache,
+    parent,
+    origin,
+    operator,
+)
+
+
+def roles(figures: Figures, demand: Demand) -> list[Table]:
+    """Give the tables of all roles."""
+    return [role(figures, demand) for role in ROLES]
--- /dev/null
+++ b/tests/scale/test_scale_tool.py
@@ -0,0 +1,153 @@
+"""`python -m standins.scale`: same seed, same counts; bad input in one line; the page holds its tables."""
+
+import importlib
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from standins.scale.estimate import NONE, Figures, Row, Table
+from standins.scale.events import events
+from standins.scale.fit import fit
+from standins.scale.plan import Demand
+from standins.scale.report import breaks_first, write_page
+from standins.scale.results import VERSION, BadResults, Run, Series, load, save
+from standins.scale.roles import roles
+from standins.scale.scenarios import fills_from_origin
+
+ROOT = Path(__file__).parent.parent.parent
+FIGURES, PAGE = ROOT / "docs" / "capacity.json", ROOT / "docs" / "CAPACITY.md"
+BEGIN, END = "<!-- tables: begin -->\n", "<!-- tables: end -->\n"
+
+
+def call(*words: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "standins.scale", *words]
+    return subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60, check=False)
+
+
+def row(name: str, ratio: float, rule: bool = False, kind: str = "cost", exponent: float = 0.0) -> Row:
+    return Row(name, ratio, "x", 1.0, exponent=exponent, rule=rule, kind=kind)
+
+
+def test_the_page_holds_the_tables_that_its_figures_give() -> None:
+    page = PAGE.read_text()
+    tables = page[page.index(BEGIN) + len(BEGIN) : page.index(END)]
+    assert tables == write_page(load(FIGURES), Demand())
+
+
+def test_the_page_is_made_from_four_sizes_over_a_decade() -> None:
+    for measure in ("router_state", "origin_peak", "members_datagrams", "process_memory"):
+        sizes = load(FIGURES).of(measure).sizes
+        assert len(sizes) >= 4 and max(sizes) >= 10 * min(sizes), measure
+
+
+def test_every_mechanism_that_the_page_names_is_there() -> None:
+    figures, demand = Figures(load(FIGURES), 2_300), Demand()
+    for table in roles(figures, demand) + events(figures, demand):
+        for found in table.rows:
+            if found.mechanism == NONE:
+                continue
+            words = found.mechanism.split(".")
+            depth = next(n for n in range(len(words), 0, -1) if importable(".".join(words[:n])))
+            thing: object = importlib.import_module(".".join(words[:depth]))
+            for word in words[depth:]:
+                thing = getattr(thing, word)
+
+
+def importable(name: str) -> bool:
+    try:
+        importlib.import_module(name)
+    except ImportError:
+        return False
+    return True
+
+
+def test_the_same_seed_gives_the_same_counts_and_another_others() -> None:
+    first, again, other = (fills_from_origin(30, 5.0, 3.0, seed) for seed in (1, 1, 2))
+    assert first == again
+    assert first != other
+
+
+def test_a_fit_finds_the_power_and_tells_what_lies_past_its_sizes() -> None:
+    sizes = [100, 300, 1_000, 2_300]
+    law = fit(sizes, [3.0 * n**0.5 for n in sizes])
+    assert law is not None
+    assert (round(law.factor, 6), round(law.exponent, 6), round(law.residual, 6)) == (3.0, 0.5, 0.0)
+    assert law.extrapolated(4_600) == 2.0 and law.extrapolated(500) == 1.0
+    assert fit([100], [3.0]) is None and fit([100, 200], [0.0, 1.0]) is None
+
+
+def test_what_breaks_first_is_a_rule_before_a_time_before_a_cost_and_within_budget_last() -> None:
+    rows = [
+        row("cost", 9.0),
+        row("time", 3.0, kind="time"),
+        row("kept", 0.9, rule=True),
+        row("rule", 2.0, True),
+    ]
+
+    ordered = breaks_first([Table("t", tuple(rows))])
+    assert [found.name for found in ordered] == ["rule", "time", "cost", "kept"]
+    assert row("x", 4.0, exponent=2.0).crossing(1_000) == 500.0
+    assert row("x", 4.0).crossing(1_000) is None
+
+
+def test_a_measured_size_is_given_as_measured_and_others_by_the_fit() -> None:
+    series = Series("m", [10, 100], [1.0, 10.0])
+    assert series.at(100) == 10.0
+    assert round(series.at(1_000), 6) == 100.0
+
+
+def test_figures_survive_the_file(tmp_path: Path) -> None:
+    run = Run(VERSION, 3, 1.5, 60.0, [Series("m", [1, 2], [0.5, 0.25])])
+    save(run, tmp_path / "f.json")
+    assert load(tmp_path / "f.json") == run
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"",
+        b"[1]",
+        b'{"version": 1}',
+        b'{"version": 9, "seed": 1, "seconds": 1, "peak_mb": 1, "series": []}',
+        b'{"version": 1, "seed": 1, "seconds": 1, "peak_mb": 1, "series": '
+        b'[{"measure": "m", "sizes": [1, 2], "values": [1.0]}]}',
+    ],
+)
+def test_a_spoilt_file_is_told(tmp_path: Path, text: bytes) -> None:
+    file = tmp_path / "f.json"
+    file.write_bytes(text)
+    with pytest.raises(BadResults):
+        load(file)
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        ("measure", "--sizes", "0", "--json", "{file}"),
+        ("measure", "--sizes", "100,x", "--json", "{file}"),
+        ("measure", "--sizes", "99999999", "--json", "{file}"),
+        ("measure", "--only", "weather", "--json", "{file}"),
+        ("table", "{file}"),
+        ("table", "{spoilt}"),
+        ("table", "{figures}", "--gateways", "0"),
+        ("table", "{figures}", "--purges", "-1"),
+    ],
+)
+def test_bad_input_gets_one_line_and_exit_2(tmp_path: Path, words: tuple[str, ...]) -> None:
+    spoilt = tmp_path / "spoilt.json"
+    spoilt.write_text("{")
+    names = {"{file}": str(tmp_path / "none.json"), "{spoilt}": str(spoilt), "{figures}": str(FIGURES)}
+    found = call(*(names.get(word, word) for word in words))
+    assert found.returncode == 2
+    assert len(found.stderr.strip().splitlines()) == 1 and found.stdout == ""
+
+
+def test_measure_writes_what_table_reads_at_any_size(tmp_path: Path) -> None:
+    file = tmp_path / "f.json"
+    done = call("measure", "--sizes", "3,6", "--only", "bounds", "--json", str(file))
+    assert done.returncode == 0, done.stderr
+    assert {series.measure for series in load(file).series} >= {"origin_peak", "cold_parent"}
+    printed = call("table", str(FIGURES), "--gateways", "4600", "--purges", "38")
+    assert printed.returncode == 0 and "extrapolated 2.0x" in printed.stdout
