--- a/tests/routing/test_routing_leases.py
+++ b/tests/routing/test_routing_leases.py
@@ -127,6 +127,23 @@
     assert not denied(owner, 101, START_MS + RETRY_MS + 4.0)
 
 
+def test_a_grant_of_an_earlier_request_is_not_taken_for_the_one_that_is_waited_for() -> None:
+    """Its owner counts from a grant that this gateway has given up: the lease would end after the owner's."""
+    holder = leases(100)
+    first_owner, first = request_of(holder, START_MS)
+    holder.tick(START_MS + RETRY_MS + 1.0)
+    again_ms = START_MS + 1_000.0
+    second_owner, second = request_of(holder, again_ms)
+    late = replace(first, kind=LeaseKind.GRANT)
+    ((to, back),) = holder.receive(first_owner, late, again_ms + 1.0)
+    assert to == first_owner and back == replace(first, kind=LeaseKind.RETURN)
+    stranger = (second_owner + 1) % ORIGIN_FILLS
+    grant = replace(second, kind=LeaseKind.GRANT)
+    ((to, _),) = holder.receive(stranger, grant, again_ms + 2.0)
+    assert to == stranger and holder.held is None
+    assert holder.receive(second_owner, grant, again_ms + 3.0) == [] and holder.held is not None
+
+
 def test_a_request_or_a_grant_that_comes_twice_lends_and_returns_nothing_more() -> None:
     holder = leases(100)
     number, note = request_of(holder, START_MS)
