A miss whose lease comes before its look has ended is filled under it

Seen: a gateway process of a fleet of 200 among scripted owners refused its first miss (code 11) though the owner had granted a lease: on loopback the grant came before the cache's LACK, and Router.awaits_lease waits only for an answer that is still out. Hollow fleets hid it, their notes take 2.5 to 19 ms and their look-ups 3. Change: such a request goes again at once under the lease, once.

--- a/hitchtiller/decide.py
+++ b/hitchtiller/decide.py
@@ -17,7 +17,7 @@
 from hitchtiller.routing.capacity import Capacity
 from hitchtiller.routing.cold import ColdGuard
 from hitchtiller.routing.directory import ENTRY_MS, Directory
-from hitchtiller.routing.effects import same_scope
+from hitchtiller.routing.effects import repeats_anywhere, same_scope
 from hitchtiller.routing.leases import Messages, OriginLeases
 from hitchtiller.routing.popularity import HEAT_MS, Popularity, caches_for, keep_rank
 from hitchtiller.routing.purges import PurgeLog
@@ -70,8 +70,7 @@
         self.handlers: dict[type, Callable[[Any], object]] = {
             api.Request: self.on_request, api.Outcome: self.on_outcome, api.TimerDue: self.on_timer,
             api.PeerMessage: self.on_peer, api.Members: self.on_members, api.Purged: self.on_purged,
-            api.Begun: lambda e: None, api.Probed: lambda e: None,
-            api.Left: self.on_left}  # fmt: skip
+            api.Begun: lambda e: None, api.Probed: lambda e: None, api.Left: self.on_left}  # fmt: skip
         self.zone = zone = settings.zones.index(settings.my_zone)
         self.hub = settings.zones[settings.hub_of[zone]] if settings.hub_of else ""
         link = settings.link_kb_per_s[zone] if settings.link_kb_per_s else 0.0
@@ -79,7 +78,6 @@
         self.fed = link > 0.0 and settings.flow_kb_per_s > 0.0  # it is told
         self.cold = ColdGuard(settings)
         self.leases, self.lease_waiters = OriginLeases(settings, ORIGIN_FILLS), list[Held]()
-        self.here = self.cold.in_zone
 
     def handle(self, event: api.Event, now_ms: float) -> list[api.Action]:
         """Decide on one event; the actions are to be carried out in this order."""
@@ -181,7 +179,7 @@
 
     def around(self) -> float:
         """Give the gateways of my zone in service: crowds are guessed by it, never a rule's share."""
-        return max(1.0, self.here * self.present())
+        return max(1.0, self.cold.in_zone * self.present())
 
     def in_time(self, held: Held, node: Node, stuck: bool = True) -> bool:
         """Tell whether a request can be in time in this crowd (overload), with or without stuck fills."""
@@ -284,17 +282,19 @@
         if held.out or self.awaits_lease(held) or self.held.pop(held.ask.id, None) is None:
             return
         cls, asked = held.cls, RETRY_AFTER_MS * (0.5 + self.rng.random())
-        anywhere = cls.effect == "repeatable" or (cls.effect == "by_key" and cls.key_scope == "all")
         wait = min(asked, self.settings.max_retry_after_ms) if self.settings.retry_after else 0.0
-        harmless = held.ran is None or anywhere
+        harmless = held.ran is None or repeats_anywhere(cls)
         self.actions.append(api.Refuse(held.ask.id, wait) if harmless else api.Fail(held.ask.id))
 
     def awaits_lease(self, held: Held) -> bool:
-        """Have a request that only lacks a lease wait for the owner's answer, once."""
-        if not held.lacks_lease or held.waited or self.leases.asked is None:
+        """Have a request that only lacked a lease go again under it, or wait for an owner's answer, once."""
+        ready = held.lacks_lease and self.leases.may_begin(held.ask.deadline_ms, self.now)
+        if not held.lacks_lease or held.waited or not (ready or self.leases.asked):
             return False
         held.waited = True
         self.lease_waiters.append(held)
+        if ready:
+            self.on_lease([])
         return True
 
     def on_lease(self, messages: Messages) -> None:
--- a/hitchtiller/routing/effects.py
+++ b/hitchtiller/routing/effects.py
@@ -49,6 +49,11 @@
     return same.get(cls.key_scope, True)
 
 
+def repeats_anywhere(cls: ClassSettings) -> bool:
+    """Tell whether a request of a class may be tried again at any server without harm, inside its window."""
+    return cls.effect == "repeatable" or (cls.effect == "by_key" and cls.key_scope == "all")
+
+
 class Effects:
     """What one process has sent of keyed classes, and has no proof that it did not run."""
 
--- a/standins/parties.py
+++ b/standins/parties.py
@@ -23,6 +23,7 @@
     fail: float = 0.0  # answers BROKE
     silent: float = 0.0  # never answers
     cut: float = 0.0  # closes in the middle of an answer
+    lacks: bool = False  # answers LACK where it holds no copy and no source is named
     drop_ms: float = 200.0  # after a purge was told, until which older copies are still held
 
 
@@ -103,6 +104,9 @@
         if draw < script.silent + script.fail:
             writer.write(resp.write_command(name, b"BROKE", b"-", b""))
             return
+        if script.lacks and "up" not in fields and (key, part) not in self.held:
+            writer.write(resp.write_command(name, b"LACK", b"-", b""))
+            return
         copy = self._copy(key, part, float(fields.get("cap", 0)))
         tag = self.truth.tag(key, copy.version)
         since = f"rev={tag},since={int(copy.since_ms)}".encode()
--- a/standins/rig.py
+++ b/standins/rig.py
@@ -68,6 +68,8 @@
         self.command = [sys.executable, "-m", "hitchtiller.cli", "serve"]
         self.cwd = ROOT
         self.memory_mb = 512
+        self.lists_parent = True
+        self.config: dict[str, Any] = {}  # what a gateway's configuration has beside the usual
         self.tasks: set[asyncio.Task[None]] = set()
 
     def share(self, other: "Rig") -> None:
@@ -85,6 +87,8 @@
         for place, server in enumerate([*self.caches, self.parent, self.origin]):
             if not server.port:
                 await server.start()
+            if server is self.parent and not self.lists_parent:
+                continue
             kind = {len(self.caches): "parent", len(self.caches) + 1: "origin"}.get(place, "box")
             site = "north" if kind == "box" else "hub"
             hosts.append(
@@ -121,6 +125,7 @@
             "limits": {"sockets": 512, "memory_mb": self.memory_mb}, "bus": f"127.0.0.1:{self.bus.port}",
             "known": self.bus.begin(), "settings": settings(),
         }  # fmt: skip
+        config |= self.config
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
         command = list(self.command)
--- a/tests/routing/test_routing_leases.py
+++ b/tests/routing/test_routing_leases.py
@@ -237,6 +237,17 @@
     assert bench.router.release(1, 1, START_MS + 25.0) is not None
 
 
+def test_a_miss_whose_lease_came_before_its_look_had_ended_is_filled_under_it() -> None:
+    """The owner was quicker than the cache: the miss was refused with the lease in hand."""
+    bench = lone_origin()
+    actions = bench.ask(1, key=1, size_kb=1.0)
+    (told,), (look,) = lease_notes(actions), gets(actions)
+    assert isinstance(told.note, LeaseNote)
+    assert bench.give(api.PeerMessage(told.peer, replace(told.note, kind=LeaseKind.GRANT))) == []
+    (fill,) = gets(bench.end(look, "enoent"))
+    assert fill.source == "o"
+
+
 def test_a_miss_whose_lease_is_denied_is_given_up_at_once() -> None:
     bench = lone_origin()
     told, _ = waiting(bench)
