--- a/standins/scale/estimate.py
+++ b/standins/scale/estimate.py
@@ -1,6 +1,7 @@
 """One row of a table of docs/CAPACITY.md: a figure for a size, beside its budget and its source."""
 
 from dataclasses import dataclass
+from typing import Any
 
 from standins.scale.plan import REFERENCE_GATEWAYS
 from standins.scale.results import Run, Series
@@ -62,6 +63,61 @@
         """Say where a measure comes from: the size measured, or the fit with its residual."""
         return basis(self.run.of(measure), self.gateways)
 
+    def row(
+        self,
+        name: str,
+        measure: str,
+        unit: str,
+        mechanism: str,
+        *,
+        value: float | None = None,
+        budget: float | None = None,
+        note: str = "",
+        grows: bool = False,
+        exponent: float = 0.0,
+        rule: bool = False,
+        kind: str = "cost",
+    ) -> Row:
+        """Give the row of a measure; `value` where the figure is worked out from it, `grows` as it does."""
+        figure = self.at(measure) if value is None else value
+        power = self.exponent(measure) if grows else exponent
+        return Row(name, figure, unit, budget, self.basis(measure) + note, mechanism, power, rule, kind)
+
+
+class TableBuilder:
+    """Puts a table together, a row at a time."""
+
+    def __init__(self, title: str, figures: Figures) -> None:
+        """Begin a table."""
+        self.title, self.figures, self.rows = title, figures, list[Row]()
+
+    def told(
+        self,
+        name: str,
+        value: float,
+        unit: str,
+        basis: str,
+        mechanism: str = NONE,
+        *,
+        budget: float | None = None,
+        exponent: float = 0.0,
+        kind: str = "cost",
+    ) -> None:
+        """Add a figure that was told, assumed or worked out; `basis` says which."""
+        self.rows.append(Row(name, value, unit, budget, basis, mechanism, exponent, kind=kind))
+
+    def measured(self, name: str, measure: str, unit: str, mechanism: str, **more: Any) -> None:
+        """Add a measure's figure, as `Figures.row` takes it."""
+        self.rows.append(self.figures.row(name, measure, unit, mechanism, **more))
+
+    def add(self, row: Row) -> None:
+        """Add a row that other tables have too."""
+        self.rows.append(row)
+
+    def build(self) -> Table:
+        """Give the table."""
+        return Table(self.title, tuple(self.rows))
+
 
 def basis(series: Series, gateways: float) -> str:
     """Say how a figure at a size was got."""
