Review case 2: the first request of a class ends connections of other clients

Change: review/2 restarts the gateway, has terminals download a release from its own copies and asks for the first card lookup. The stand-ins can restart the gateway and set its memory limit.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,47 +1,62 @@
-"""A drain while a client reads its answers at 1 MB a second: does it get all of them?"""
+"""The first lookup after a planned restart, while terminals download a release: do they get their answers?"""
 
 import asyncio
-import contextlib
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from parties import Case, Client, play
-
-LANE, WAIT_MS = "terminal-files", 5000.0
-SIZE, OBJECTS, PACE = 240_000, 10, 1e6
-NEXT_REQUEST_S, NEXT_REQUESTS = 0.5, 4
-SMALL = "00000000000000aa"
-
-
-async def run(case: Case) -> None:
-    """Have a slow reader ask for large objects on one connection, then drain the gateway."""
-    names = [name for name in case.truth.sizes if name != SMALL]
-    await case.warm_up(LANE, [*names, SMALL], WAIT_MS)
-    client = await Client(case, "slow reader", pace=PACE).open()
-    sent = [await client.request(LANE, name, WAIT_MS) for name in names]
-    await asyncio.sleep(0.3)
-    if case.trouble:
-        await case.call("drain")
-    for _ in range(NEXT_REQUESTS):
-        await asyncio.sleep(NEXT_REQUEST_S)
-        if client.told_to_go or client.ended:
-            break
-        with contextlib.suppress(OSError):
-            await client.request(LANE, SMALL, WAIT_MS)
-    for request in sent:
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(request.done.wait(), 8.0)
-    for request in sent:
-        if request.code is None:
+from parties import Case, Client, now_ms, play
+
+FILES, FILES_WAIT_MS = "terminal-files", 5000.0
+LOOKUPS, LOOKUPS_WAIT_MS = "card-lookups", 2500.0
+RELEASE = [f"7f3a9c21e0b4{index:04x}" for index in range(24)]
+SIZE, MEMORY_MB = 240_000, 64
+ANSWER_MS = 120.0  # of every server
+TERMINALS, DOWNLOAD_S, LOOKUP_AFTER_S = 10, 2.0, 1.0
+
+
+async def download(case: Case, number: int, until_ms: float) -> tuple[int, int]:
+    """Ask for the parts in turn, one at a time; return how many requests were sent and how many lost."""
+    client = await Client(case, f"terminal {number}").open()
+    sent_count = lost_count = 0
+    while now_ms() < until_ms:
+        if client.ended:
+            client = await Client(case, f"terminal {number}").open()
+        part = RELEASE[(5 * number + sent_count) % len(RELEASE)]
+        sent = await client.ask(FILES, part, FILES_WAIT_MS)
+        sent_count += 1
+        if sent.code is None:
+            lost_count += 1
             case.record.fault(
-                f"request {request.fields['i']}, taken before the drain, has no whole answer"
-                f" ({len(request.part)} bytes of it); its connection is {client.ended or 'open'}"
+                f"terminal {number}: request {sent.fields['i']} has no answer;"
+                f" its connection is {client.ended or 'open'}"
             )
-    case.record.add(f"{sum(r.code == 0 for r in sent)} of {len(sent)} served, {client.bytes_read} bytes read")
     await client.close()
+    return sent_count, lost_count
 
 
-sizes = {f"7f3a9c21e0b4{index:04x}": SIZE for index in range(OBJECTS)} | {SMALL: 2_000}
-sys.exit(play(Case(Path(__file__).resolve().parent, "ortega-estaciones", sizes), run))
+async def run(case: Case) -> None:
+    """Ask for an object of each class, restart, and ask for a lookup during the download of a release."""
+    for server in case.servers:
+        server.answer_ms = ANSWER_MS
+    await case.warm_up(FILES, ["00000000000000a1"], FILES_WAIT_MS)
+    await case.warm_up(LOOKUPS, ["00000000000000b1"], LOOKUPS_WAIT_MS)
+    if case.trouble:
+        await case.restart()
+    await case.warm_up(FILES, RELEASE, FILES_WAIT_MS)
+    until_ms = now_ms() + DOWNLOAD_S * 1000.0
+    downloads = [asyncio.ensure_future(download(case, n, until_ms)) for n in range(TERMINALS)]
+    await asyncio.sleep(LOOKUP_AFTER_S)
+    counter = await Client(case, "counter").open()
+    lookup = await counter.ask(LOOKUPS, "00000000000000b2", LOOKUPS_WAIT_MS)
+    case.record.add(f"the lookup ended with code {lookup.code}")
+    counts = await asyncio.gather(*downloads)
+    sent_count, lost_count = (sum(column) for column in zip(*counts, strict=True))
+    case.record.add(f"{sent_count} requests by terminals, {lost_count} without an answer")
+    print(f"{sent_count} requests by terminals, {lost_count} without an answer")
+    await counter.close()
+
+
+sizes = dict.fromkeys(RELEASE, SIZE)
+sys.exit(play(Case(Path(__file__).resolve().parent, "ortega-estaciones", sizes, memory_mb=MEMORY_MB), run))
--- a/review/parties.py
+++ b/review/parties.py
@@ -504,11 +504,17 @@
     """One gateway among stand-ins."""
 
     def __init__(
-        self, folder: Path, site: str, sizes: dict[str, int], boxes: int = 3, parents: int = 2
+        self,
+        folder: Path,
+        site: str,
+        sizes: dict[str, int],
+        boxes: int = 3,
+        parents: int = 2,
+        memory_mb: int = 192,
     ) -> None:
         """Prepare the parties of a site."""
         self.folder, self.site, self.record = folder, SITES[site], Record()
-        self.site_name, self.truth = site, Truth(sizes)
+        self.site_name, self.truth, self.memory_mb = site, Truth(sizes), memory_mb
         self.runs: list[tuple[str, float]] = []
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         numbers = count(0x00C41F70)
@@ -554,7 +560,7 @@
             "listen": f"{HOST}:{self.listen_port}",
             "control": f"{HOST}:{self.control_port}",
             "seed": os.urandom(8).hex(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": 1024},
             "bus": f"{HOST}:{self.bus.port}",
             "known": known,
             "flow_bytes_per_s": flow * 1000.0 / BYTES_TO_KB,
@@ -633,6 +639,22 @@
         await self.bus.up()
         self.bus.add(1, b"".join(self.server_record(s, 0) for s in self.servers))
         self.listen_port, self.control_port = free_port(), free_port()
+        await self.launch()
+
+    async def restart(self) -> None:
+        """Make a planned restart while no client is connected."""
+        process = self.process
+        if process is None:
+            raise CannotRun("no gateway to restart")
+        self.record.add("planned restart: SIGTERM")
+        process.send_signal(signal.SIGTERM)
+        code = await asyncio.get_running_loop().run_in_executor(None, process.wait, 10.0)
+        self.record.add(f"the gateway has ended with {code}")
+        await self.launch()
+
+    async def launch(self) -> None:
+        """Start the gateway with an empty folder for its files, and wait until it is ready."""
+        shutil.rmtree(self.temp / "tmp", ignore_errors=True)
         (self.temp / "tmp").mkdir()
         config = self.temp / "config.json"
         config.write_text(json.dumps(self.config()))
