Reject answers of a server that have not exactly four items

Callers saw a whole 'served' answer with no bytes for an object of 20,000 bytes, and later callers got the same from the gateway's own copy.

Cause: Link._handle_answer accepted arrays of two to four items and took missing ones as empty. An answer whose array length was 3 was complete for the reader after its fields; the body that followed raised an error only after the empty answer had been delivered and stored.

Change: any other count than resp.ANSWER_ITEMS is an error before the job is looked up, so the connection closes and its jobs end as possibly run. The protocol has no answer of another form. An existing test sent a WAIT of three items; it now sends the four of the protocol and asserts the same.

--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -177,11 +177,12 @@
             self.stream.set_reader_bytes(len(self.reader.buffer))
 
     def _handle_answer(self, items: list[bytes]) -> None:
-        if not 2 <= len(items) <= 4:
+        if len(items) != resp.ANSWER_ITEMS:
             raise resp.RespError(f"answer has {len(items)} items")
-        job = self.open_jobs.pop(items[0], None)
+        name, reply, fields_text, body = items
+        job = self.open_jobs.pop(name, None)
         if job is None:
-            self.killed_jobs.pop(items[0], None)  # the answer crossed the KILL, or belongs to no job
+            self.killed_jobs.pop(name, None)  # the answer crossed the KILL, or belongs to no job
             return
         self.answered_count += 1
         if not job.repeatable:
@@ -189,14 +190,12 @@
         if self.queue:
             self._wake()  # the writer may be waiting for room
         try:
-            fields = resp.read_fields(items[2]) if len(items) > 2 else {}
-            reply = items[1].decode("ascii", "replace")
-            job.on_answer(reply, fields, items[3] if len(items) > 3 else b"")
+            job.on_answer(reply.decode("ascii", "replace"), resp.read_fields(fields_text), body)
         except resp.RespError as error:
             # The frame itself was valid, so the answers to the other open jobs can still be read.
             self.parse_error = str(error)
             if not self.open_jobs:
-                self.open_jobs[items[0]] = job
+                self.open_jobs[name] = job
                 raise
             job.on_connection_end("econnreset")
             if not self.is_retired:
--- a/hitchtiller/codec/resp.py
+++ b/hitchtiller/codec/resp.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator, Sequence
 
 MAX_ITEMS = 8
+ANSWER_ITEMS = 4  # every answer is an array of ID, WORD, FIELDS and BODY
 MAX_BULK_BYTES = 262_144
 MAX_LINE_BYTES = 16
 # A whole answer up to its body: an array of four bulk strings.
--- a/tests/ends/test_ends_links.py
+++ b/tests/ends/test_ends_links.py
@@ -147,10 +147,23 @@
         link.check(now_ms() + 0.5 * link_module.GROWTH_TIMEOUT_MS)
         self.assertEqual(link.stream.close_code, "")
 
+    def test_an_answer_with_a_wrong_number_of_items_is_never_delivered(self) -> None:
+        """An answer whose array length was 3, not 4, was served as an empty object and kept as a copy."""
+        unknown = resp.write_command(b"unknown", b"DONE", b"-", b"")
+        for repeatable in (True, False):
+            for count in (0, 1, 2, 3, 5, 8):
+                with self.subTest(count=count, repeatable=repeatable):
+                    job = Job(b"a", repeatable)
+                    link, server = self.write_job(job)
+                    whole = resp.write_command(b"a", b"DONE", b"rev=t,since=1", b"body")
+                    server.sendall(whole.replace(b"*4", b"*%d" % count, 1) + unknown)
+                    self.wait_until(lambda link=link: link.stream.close_code == "junk")  # type: ignore[misc]
+                    self.wait_until(lambda job=job: job.statuses == ["econnreset"])  # type: ignore[misc]
+
     def test_a_second_answer_to_an_effect_matches_no_job(self) -> None:
         first = Job(b"a", repeatable=False)
         link, server = self.write_job(first)
-        wait = resp.write_command(b"a", b"WAIT", b"-")
+        wait = resp.write_command(b"a", b"WAIT", b"-", b"")
         server.sendall(wait)
         self.wait_until(lambda: first.statuses == ["WAIT"])
         repeat = Job(b"a", repeatable=False)
