Close connections at a drain, hand-over or stop only once answers are read

Cause: a connection counted as idle once the gateway's own buffer was empty (Client.has_pending_answers), whatever the kernels still held. It was shut down and closed by the clock 0.1 to 0.3 s later (CLOSE_LINGER_MS), so the client's next request met a closed socket and was answered with a reset.

Change: idle means that the client's kernel has acknowledged everything (ioctl TIOCOUTQ) and, but for the last checks, that the client has had the time to read it (front/reading.py); a closed connection lingers as long. In an existing test the last check of a drain now comes after the GOING frame was acknowledged; its assertions are the same.

--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -11,6 +11,7 @@
 from hitchtiller.codec import frames
 from hitchtiller.exchange import FAILED, REFUSED, Answer, Exchange
 from hitchtiller.front.asks import RequestError, read_request, write_answer
+from hitchtiller.front.reading import ReadingEstimate
 from hitchtiller.log import log_connection_end
 from hitchtiller.sched import LAG_LIMIT_MS, Stream, StreamClosed, now_ms
 
@@ -29,6 +30,7 @@
 PROBE_KEEP_MS = 1_000.0  # connections with readiness probes, which come 10 times per second, are kept
 QUEUE_CHECK_MS = 20.0
 DEFAULT_LINGER_MS = 1_500.0  # how long a closing connection reads and drops input
+CLOSE_LINGER_MS = 100.0  # the same for one that was idle; clients resend elsewhere what crosses the close
 
 
 class StreamNumbers:
@@ -59,6 +61,7 @@
         self.front, self.stream, self.remote_address = front, stream, remote_address
         self.open_exchanges: dict[int, Exchange] = {}
         self.stream_numbers = StreamNumbers()
+        self.reading = ReadingEstimate()
         # Requests that arrived while more than HIGH_WATER_BYTES were unsent, with their arrival times.
         self.queued_requests: dict[int, tuple[frames.Frame, float]] = {}
         self.incomplete_bytes = 0  # size of a frame that has only partly arrived
@@ -174,8 +177,19 @@
         )
 
     def has_pending_answers(self) -> bool:
-        """Return whether a request is open or queued, or answer bytes are still unsent."""
-        return bool(self.open_exchanges or self.queued_requests or self.stream.unsent_bytes)
+        """Return whether a request is open or queued, or answer bytes are not acknowledged yet."""
+        return bool(self.open_exchanges or self.queued_requests or self.stream.undelivered_bytes())
+
+    def reads_nothing(self, now: float, stall_ms: float) -> bool:
+        """Return whether nothing of the unsent answers was read for `stall_ms`.
+
+        What the kernel still holds counts too once the client was told to go: the gateway waits for it.
+        """
+        stream = self.stream
+        if not (stream.unsent_bytes or (self.going_sent and stream.undelivered_bytes())):
+            return False
+        stream.check_progress(now)
+        return now - stream.last_progress_ms > stall_ms
 
     def is_lingering(self) -> bool:
         """Return whether the connection is closing and its last answer has been sent."""
@@ -271,7 +285,9 @@
         self._close_if_done()
 
     def _send_answer(self, stream: int, answer: Answer) -> None:
-        self.stream.write(*write_answer(stream, answer))
+        parts = write_answer(stream, answer)
+        self.reading.record_write(sum(map(len, parts)), now_ms())
+        self.stream.write(*parts)
 
     def send_going(self) -> None:
         """Send a GOING frame once: no new request may be sent on this connection."""
@@ -282,11 +298,23 @@
     def may_close(self, now: float, final: bool) -> bool:
         """Return whether a drain may close the connection: it is idle and has no recent probe.
 
-        Unless `final`, a partial frame or activity within MIN_IDLE_MS also keeps it open.
+        Unless `final`, a partial frame, answers that the client may still be reading or activity within
+        MIN_IDLE_MS also keep it open.
         """
         if not self.is_idle() or now - self.last_probe_ms <= PROBE_KEEP_MS:
             return False
-        return final or (not self.stream.reader_bytes and now - self.last_activity_ms > MIN_IDLE_MS)
+        return final or (self.awaits_nothing(now) and now - self.last_activity_ms > MIN_IDLE_MS)
+
+    def awaits_nothing(self, now: float) -> bool:
+        """Return whether the client has sent no partial frame and has read its answers, as far as is known.
+
+        A client that has not read the GOING frame behind its answers still sends requests in good faith.
+        """
+        return not self.stream.reader_bytes and self.reading.remaining_ms(now) == 0.0
+
+    def release(self, code: str) -> None:
+        """Close an idle connection; input is dropped for as long as the client may still be reading."""
+        self.close_when_done(code, CLOSE_LINGER_MS + self.reading.remaining_ms(now_ms()))
 
     def close_when_done(self, code: str, linger_ms: float = DEFAULT_LINGER_MS) -> None:
         """Close once all open requests are answered: they were accepted and must not be lost."""
--- a/hitchtiller/front/leave.py
+++ b/hitchtiller/front/leave.py
@@ -20,7 +20,6 @@
 KILL_GRACE_MS, MAX_DEADLINE_MS = 700.0, 3_000.0
 # Time to send the last answers, and from the exit until the platform may kill the process.
 LAST_ANSWERS_MS, EXIT_MARGIN_MS = 250.0, 150.0
-CLOSE_LINGER_MS = 100.0  # input that crosses a close is dropped for this long; clients resend it elsewhere
 # After the beginning of a drain: new requests are refused, and the connections on which they come are closed.
 DRAIN_REFUSE_MS, DRAIN_CLOSE_MS = 1_500.0, 2_500.0
 CHECK_INTERVAL_MS = 50.0
@@ -69,9 +68,7 @@
         for client in list(self.front.clients):
             client.send_going()
             if client.may_close(now, final):
-                client.close_when_done(
-                    MOVED if self.front.state == HANDED_OVER else "drained", CLOSE_LINGER_MS
-                )
+                client.release(MOVED if self.front.state == HANDED_OVER else "drained")
 
     def hand_over(self) -> None:
         """Stop accepting, as the next version does from now on, and exit once all clients have left."""
@@ -137,9 +134,10 @@
         return kill_ms - LAST_ANSWERS_MS - EXIT_MARGIN_MS, kill_ms - EXIT_MARGIN_MS
 
     def _close_idle(self, final: bool = False) -> None:
-        """Close each connection without a pending answer; if `final`, also those with a partial request.
+        """Close each connection without a pending answer.
 
-        A connection with unread input is left open until that was read. Nothing else runs between this check
+        Unless `final`, those with a partial request or with answers that may be unread are left open. A
+        connection with unread input is left open until that was read. Nothing else runs between this check
         and the shutdown. Input that arrives later is dropped, for which the close lingers a little.
         """
         now = now_ms()
@@ -147,8 +145,8 @@
             if client.close_code:
                 if client.timeout_code(now):
                     client.stream.close(client.close_code)
-            elif client.is_idle() and (final or not client.stream.reader_bytes):
-                client.close_when_done("stop", CLOSE_LINGER_MS)
+            elif client.is_idle() and (final or client.awaits_nothing(now)):
+                client.release("stop")
 
     def _end_loop(self, code: str) -> None:
         for client in list(self.front.clients):
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -107,7 +107,7 @@
     def sweep(self, now: float) -> None:
         """Disconnect clients that read no answers or complete no requests: they use up the limits."""
         for client in list(self.clients):
-            if client.stream.unsent_bytes and now - client.stream.last_progress_ms > MAX_SEND_STALL_MS:
+            if client.reads_nothing(now, MAX_SEND_STALL_MS):
                 client.stream.close("slow")
             elif code := client.timeout_code(now):
                 if client.has_pending_answers() and not client.close_code:
--- a/hitchtiller/sched.py
+++ b/hitchtiller/sched.py
@@ -8,9 +8,12 @@
 
 import contextlib
 import errno
+import fcntl
 import heapq
 import select
 import socket
+import struct
+import termios
 import time
 from collections import deque
 from collections.abc import Callable
@@ -29,6 +32,7 @@
 LAG_LIMIT_MS = 20.0
 READ = select.POLLIN
 WRITE = select.POLLOUT
+KERNEL_INT = struct.Struct("i")  # the result of an ioctl
 
 
 def now_ms() -> float:
@@ -288,7 +292,11 @@
         self.sched, self.sock, self.fd = sched, sock, sock.fileno()
         self.unsent: deque[memoryview] = deque()
         self.unsent_bytes = 0  # bytes in `unsent`
-        self.last_progress_ms = 0.0  # when bytes were last sent, or a write last found `unsent` empty
+        self.sent_bytes = self.acknowledged_bytes = (
+            0  # handed to the kernel, and acknowledged at the last check
+        )
+        # When bytes were last sent or seen to be acknowledged, or a write last found `unsent` empty.
+        self.last_progress_ms = 0.0
         self.is_flushing = False
         self.input_drained = True  # no unread input is known: the last read emptied the receive buffer
         self.close_code = ""  # reason code of the close; empty while open
@@ -376,6 +384,29 @@
         except OSError as error:
             return not isinstance(error, BlockingIOError)
 
+    def undelivered_bytes(self) -> int:
+        """Return how many written bytes the other side's kernel has not acknowledged.
+
+        Where the system does not tell what its send buffer holds, only the unsent bytes count.
+        """
+        return self.unsent_bytes + self._bytes_in_send_buffer()
+
+    def _bytes_in_send_buffer(self) -> int:
+        """Return the size of the kernel's send queue (ioctl SIOCOUTQ, see tcp(7)); 0 if it can't be had."""
+        if self.close_code:
+            return 0
+        try:
+            result = fcntl.ioctl(self.fd, termios.TIOCOUTQ, bytes(KERNEL_INT.size))
+        except OSError:
+            return 0
+        return int(KERNEL_INT.unpack(result)[0])
+
+    def check_progress(self, now: float) -> None:
+        """Record progress at `now` if more bytes were acknowledged than at the last check."""
+        acknowledged_bytes = self.sent_bytes - self._bytes_in_send_buffer()
+        if acknowledged_bytes > self.acknowledged_bytes:
+            self.acknowledged_bytes, self.last_progress_ms = acknowledged_bytes, now
+
     def discard_unsent(self) -> None:
         """Drop all unsent data; nothing meaningful can be written on the stream after that."""
         self.unsent.clear()
@@ -397,6 +428,7 @@
                 self.close("reset")
                 return
             self.unsent_bytes -= sent
+            self.sent_bytes += sent
             Stream.buffered_bytes -= sent
             self.last_progress_ms = now_ms()
             while sent:
--- a/tests/ends/sides.py
+++ b/tests/ends/sides.py
@@ -141,6 +141,12 @@
         self.wait_until(lambda: self.client.last_activity_ms > last_activity_ms)
         self.sched.run_once()
 
+    def release_finally(self) -> None:
+        """Make the last check of a drain once the client's kernel has everything that was written."""
+        self.client.send_going()
+        self.wait_until(lambda: self.client.stream.undelivered_bytes() == 0)
+        self.front.leave._release_clients(final=True)
+
     def read_until_end(self) -> bytes:
         """Read until the gateway closes the connection; a reset fails the test."""
         self.client_socket.setblocking(False)
--- a/tests/ends/test_ends_shutdown.py
+++ b/tests/ends/test_ends_shutdown.py
@@ -2,6 +2,7 @@
 
 import copy
 import json
+import socket
 import time
 import unittest
 from unittest import mock
@@ -11,7 +12,10 @@
 
 from hitchtiller.codec import frames
 from hitchtiller.front import leave as leave_module
-from hitchtiller.front.client import Client
+from hitchtiller.front.client import CLOSE_LINGER_MS, Client
+from hitchtiller.front.reading import MAX_READING_MS, ReadingEstimate
+from hitchtiller.front.server import MAX_SEND_STALL_MS
+from hitchtiller.sched import now_ms
 
 
 class Crossings(FrontCase):
@@ -119,7 +123,129 @@
             return found
 
         with mock.patch.object(Client, "is_idle", send_and_check):
-            self.front.leave._release_clients(final=True)
+            self.release_finally()
         got = list(frames.FrameReader().feed(self.read_until_end()))
         self.assertEqual([(f.kind, f.stream) for f in got], [(frames.ANSWER, 1), (frames.GOING, 0)])
         self.assertEqual(len(self.engine.taken), 1)
+
+
+class SlowReaders(FrontCase):
+    """A client that has answers to read while the gateway releases it."""
+
+    BODY = bytes(range(250)) * 800
+    LARGEST_WINDOW = 32_768
+
+    def setUp(self) -> None:
+        super().setUp()
+        for name in ("ACCEPT_GRACE_MS", "REQUEST_GRACE_MS"):
+            patch = mock.patch.object(leave_module, name, 5.0)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.LARGEST_WINDOW)
+        self.client.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * len(self.BODY))
+
+    def answer_unread(self) -> None:
+        """Answer a request so that the kernel takes the whole answer and the client reads none of it."""
+        self.engine.answer(self.send_request(1), self.BODY)
+        self.assertEqual(self.client.stream.unsent_bytes, 0)
+        self.assertGreater(self.client.stream.undelivered_bytes(), self.LARGEST_WINDOW)
+        self.client.last_activity_ms -= 10_000.0
+
+    def run_for(self, duration_ms: float) -> None:
+        end_ms = now_ms() + duration_ms
+        self.wait_until(lambda: now_ms() > end_ms)
+
+    def check_nothing_is_lost(self) -> None:
+        """The client sends one more request before it reads, then gets both answers whole."""
+        self.engine.answer(self.send_request(2), b"small")
+        got = list(frames.FrameReader().feed(self.read_until_end()))
+        bodies = [f.payload[-len(self.BODY) :] for f in got if f.kind == frames.ANSWER]
+        self.assertEqual(bodies[0], self.BODY)
+        self.assertTrue(bodies[1].endswith(b"small"))
+        self.assertEqual(len(bodies), 2)
+
+    def test_a_drain_waits_until_a_client_has_its_answers(self) -> None:
+        """It closed sockets whose kernel held answers: the next request reset the connection."""
+        self.answer_unread()
+        self.front.leave.drain()
+        self.run_for(400.0)
+        self.check_nothing_is_lost()
+
+    def test_a_hand_over_waits_until_a_client_has_its_answers(self) -> None:
+        """As in a drain: of 10 answers 7 were lost at an upgrade."""
+        self.answer_unread()
+        self.front.leave.hand_over()
+        self.run_for(400.0)
+        self.check_nothing_is_lost()
+
+    def test_a_stop_waits_until_a_client_has_its_answers(self) -> None:
+        self.answer_unread()
+        self.sched.spawn(self.front.leave.stop)
+        self.run_for(400.0)
+        self.check_nothing_is_lost()
+
+    def test_the_last_check_of_a_drain_waits_for_what_the_kernel_holds(self) -> None:
+        self.answer_unread()
+        self.front.leave._release_clients(final=True)
+        self.assertEqual(self.client.close_code, "")
+
+    def test_a_closed_connection_lingers_while_its_client_may_still_read(self) -> None:
+        """The client's kernel has all answers, its program not: a close was answered with a reset."""
+        self.client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * len(self.BODY))
+        self.engine.answer(self.send_request(1), self.BODY)
+        self.release_finally()
+        self.assertEqual(self.client.close_code, "drained")
+        self.run_for(CLOSE_LINGER_MS + 30.0)
+        self.front.sweep(now_ms())
+        self.assertEqual(self.client.stream.close_code, "")
+        self.client_socket.sendall(request_frame(2))
+        self.assertIn(self.BODY, self.read_until_end())
+        self.front.sweep(now_ms() + 10_000.0)
+        self.assertEqual(self.client.stream.close_code, "drained")
+
+    def test_a_client_that_reads_nothing_does_not_hold_up_a_drain_for_ever(self) -> None:
+        self.answer_unread()
+        self.client.send_going()
+        self.front.sweep(now_ms())
+        self.front.sweep(now_ms() + MAX_SEND_STALL_MS / 2)
+        self.assertEqual(self.client.stream.close_code, "")
+        self.front.sweep(now_ms() + MAX_SEND_STALL_MS + 1.0)
+        self.assertEqual(self.client.stream.close_code, "slow")
+
+    def test_a_client_that_is_not_told_to_go_may_leave_an_answer_unread(self) -> None:
+        self.answer_unread()
+        self.front.sweep(now_ms() + 10.0 * MAX_SEND_STALL_MS)
+        self.assertEqual(self.client.stream.close_code, "")
+
+    def test_a_client_that_reads_steadily_is_not_closed_as_slow(self) -> None:
+        """The kernel reports room only after a third of its buffer: at 0.2 MB/s that took over 5 s."""
+        self.engine.answer(self.send_request(1), bytes(16_000_000))
+        self.front.sweep(now_ms())
+        self.assertGreater(self.client.stream.unsent_bytes, 0)
+        for _ in range(3):
+            self.client.stream.last_progress_ms -= MAX_SEND_STALL_MS + 1.0
+            delivered = self.client.stream.undelivered_bytes()
+            self.read_some(delivered)
+            self.front.sweep(now_ms())
+            self.assertEqual(self.client.stream.close_code, "")
+        self.client.stream.last_progress_ms -= MAX_SEND_STALL_MS + 1.0
+        self.front.sweep(now_ms())
+        self.assertEqual(self.client.stream.close_code, "slow")
+
+    def read_some(self, undelivered: int) -> None:
+        """Read until the gateway's kernel has less to deliver, without a turn of the gateway's loop."""
+        while self.client.stream.undelivered_bytes() >= undelivered:
+            self.client_socket.recv(1_000)
+
+
+class Reading(unittest.TestCase):
+    def test_the_estimate_adds_up_is_bounded_and_ends(self) -> None:
+        reading = ReadingEstimate()
+        self.assertEqual(reading.remaining_ms(1_000.0), 0.0)
+        reading.record_write(240_000, 1_000.0)
+        reading.record_write(240_000, 1_100.0)
+        self.assertEqual(reading.remaining_ms(1_200.0), 280.0)
+        self.assertEqual(reading.remaining_ms(1_480.0), 0.0)
+        for _ in range(100):
+            reading.record_write(240_000, 2_000.0)
+        self.assertEqual(reading.remaining_ms(2_000.0), MAX_READING_MS)
