Test an orderly restart of the disk tier without a margin for the start's speed

Cause: the rig repeats the purges of the last 1.5 s to a starting gateway and the watermark is 0.6 s behind, so the copies on disk were proven only if the second process followed the bus within 0.9 s; under load its start takes longer, the epoch is raised as it should be, and no hit is a hit from disk.

Change: the test's bus repeats the purges of the last minute, and what the margin had checked by the way is asserted by itself: the watermark that the first process saved is at most a heartbeat and the purge lag behind the end of its accept grace, and the epoch is the same after the restart. All earlier assertions stay.

--- a/standins/parties.py
+++ b/standins/parties.py
@@ -127,6 +127,7 @@
 
 
 HEALTH_VALUES = ("Ready", "Terminating", "Gone")
+HEARTBEAT_MS = 200.0  # of the event bus; the real one has 1 s
 
 
 @dataclass(slots=True)
@@ -149,7 +150,11 @@
     """
 
     def __init__(
-        self, truth: Truth, hosts: list[dict[str, Any]], replay_ms: float, heartbeat_ms: float = 200.0
+        self,
+        truth: Truth,
+        hosts: list[dict[str, Any]],
+        replay_ms: float,
+        heartbeat_ms: float = HEARTBEAT_MS,
     ) -> None:
         """Announce these hosts and the purges of `truth`, with a heartbeat every `heartbeat_ms`."""
         self.truth, self.hosts, self.replay_ms, self.heartbeat_ms = truth, hosts, replay_ms, heartbeat_ms
--- a/standins/rig.py
+++ b/standins/rig.py
@@ -69,6 +69,7 @@
         self.cwd = ROOT
         self.memory_mb = 512
         self.lists_parent = True
+        self.replay_ms = REPLAY_MS
         self.config: dict[str, Any] = {}  # added to the gateway's configuration, or replaces its keys
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -95,7 +96,7 @@
                 {"host": f"s-{server_index:08x}", "dial": f"127.0.0.1:{server.port}", "site": zone,
                  "class": kind, "block": 0, "health": "Ready", "share": 50, "born_ms": 0}
             )  # fmt: skip
-        self.bus = Bus(self.truth, hosts, REPLAY_MS)
+        self.bus = Bus(self.truth, hosts, self.replay_ms)
         await self.bus.start()
 
     def disk(self, **more: Any) -> None:
@@ -123,11 +124,12 @@
 
     async def launch(self, wait_ready: bool = True) -> None:
         """Start the gateway process."""
-        config = {
+        config: dict[str, Any] = {
             "name": "n0", "listen": "127.0.0.1:0", "control": "127.0.0.1:0", "seed": "1",
             "limits": {"sockets": 512, "memory_mb": self.memory_mb}, "bus": f"127.0.0.1:{self.bus.port}",
             "known": self.bus.begin(), "settings": settings(),
         }  # fmt: skip
+        config["settings"]["family_info"]["gone_everywhere_ms"] = self.replay_ms
         config |= self.config
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
--- a/tests/store/test_store_live.py
+++ b/tests/store/test_store_live.py
@@ -11,17 +11,24 @@
 from click.testing import CliRunner
 
 from hitchtiller.cli.main import main
+from hitchtiller.front.leave import ACCEPT_GRACE_MS
+from hitchtiller.store import recover
+from hitchtiller.store.files import OsFiles
 from hitchtiller.store.light import memory_tier_mb
 from standins import kills
-from standins.rig import REPLAY_MS, ROOT, Rig
+from standins.parties import HEARTBEAT_MS
+from standins.rig import MAX_PURGE_LAG_MS, REPLAY_MS, ROOT, Rig
 from standins.truth import now_ms
 
+LONG_REPLAY_MS = 60_000.0  # longer than any start takes
 
-def play_script(script: Callable[[Rig], Awaitable[None]], **disk: float) -> Rig:
+
+def play_script(script: Callable[[Rig], Awaitable[None]], replay_ms: float = REPLAY_MS, **disk: float) -> Rig:
     """Run a script on a rig with both tiers, and check that clients saw nothing wrong."""
 
     async def run() -> Rig:
         rig = Rig(5)
+        rig.replay_ms = replay_ms
         rig.disk(**disk)
         await rig.start()
         try:
@@ -85,16 +92,21 @@
         await rig.logged("store open")
         for _ in range(2):
             await ask_all(rig, range(1, 40))
+        terminated_ms = now_ms()
         assert await rig.terminate() == 0
+        # The bus is followed until the process ends, so that a start within the replay time finds no gap.
+        saved = recover.load(OsFiles(rig.folder / "store")).saved_proof
+        assert saved.followed_ms >= terminated_ms + ACCEPT_GRACE_MS - HEARTBEAT_MS - MAX_PURGE_LAG_MS
         pulls = sum(server.pulls for server in rig.caches)
         await rig.launch()
         line = await rig.logged("store open")
         assert "checkpoint 0" not in line and " 0 records read" in line
         await ask_all(rig, range(1, 40))
         figures = await rig.figures()
+        assert figures["store.era"] == saved.epoch, "the restart was taken for a gap"
         assert figures["store.hits.disk"] == 39 and sum(server.pulls for server in rig.caches) == pulls
 
-    play_script(script)
+    play_script(script, replay_ms=LONG_REPLAY_MS)
 
 
 def test_after_a_long_absence_copies_are_confirmed_and_purged_ones_are_not_served() -> None:
