--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -24,8 +24,9 @@
 from hitchtiller.ops.upgrade import Upgrade
 from hitchtiller.peers import Peers
 from hitchtiller.reload import Reload
-from hitchtiller.sched import Clock, Scheduler, Stream
+from hitchtiller.sched import Clock, Scheduler
 from hitchtiller.signals import Signals
+from hitchtiller.stream import Stream
 
 # With a memory limit below the minimum, there is no memory for copies and the option has no effect.
 MEMORY_TIER_OPTION, MIN_TIER_MEMORY_MB = "--memory-tier", 64.0
--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -13,7 +13,8 @@
 from hitchtiller.back.jobs import Job
 from hitchtiller.codec import resp
 from hitchtiller.log import log_connection_end
-from hitchtiller.sched import Scheduler, Stream, StreamClosed, now_ms
+from hitchtiller.sched import Scheduler, now_ms
+from hitchtiller.stream import Stream, StreamClosed
 
 IDLE_SHARE = 0.7  # of the servers' idle timeout; closing before the server avoids a race with a send
 LATE_ANSWER_MS = 6_000.0  # after this time no answer to a killed request arrives any more
--- a/hitchtiller/bus.py
+++ b/hitchtiller/bus.py
@@ -11,7 +11,8 @@
 from hitchtiller.codec.bus import BusError, BusReader, NumberedEvent
 from hitchtiller.log import log_connection_end, logger
 from hitchtiller.news import Event
-from hitchtiller.sched import Scheduler, Stream, StreamClosed, now_ms
+from hitchtiller.sched import Scheduler, now_ms
+from hitchtiller.stream import Stream, StreamClosed
 
 CONNECT_MS = 400.0
 SILENT_MS = 1_800.0  # the bus sends a frame each second; without a complete one the connection is dead
--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -13,7 +13,8 @@
 from hitchtiller.front.asks import RequestError, read_request, write_answer
 from hitchtiller.front.reading import ReadingEstimate
 from hitchtiller.log import log_connection_end
-from hitchtiller.sched import LAG_LIMIT_MS, Stream, StreamClosed, now_ms
+from hitchtiller.sched import LAG_LIMIT_MS, now_ms
+from hitchtiller.stream import Stream, StreamClosed
 
 if TYPE_CHECKING:
     from hitchtiller.front.server import Front
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -12,7 +12,8 @@
 from hitchtiller.front.client import Client
 from hitchtiller.front.leave import HANDED_OVER, SERVING, DrainControl
 from hitchtiller.log import log_connection_end
-from hitchtiller.sched import READ, Scheduler, Stream, now_ms
+from hitchtiller.sched import READ, Scheduler, now_ms
+from hitchtiller.stream import Stream
 
 BACKLOG = 512
 MAX_SEND_STALL_MS = 5_000.0  # a client that reads nothing of its answers for longer is disconnected
--- a/hitchtiller/ops/control.py
+++ b/hitchtiller/ops/control.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from hitchtiller.log import log_connection_end
-from hitchtiller.sched import READ, Scheduler, Stream, StreamClosed
+from hitchtiller.sched import READ, Scheduler
+from hitchtiller.stream import Stream, StreamClosed
 
 BACKLOG = 64
 MAX_CALL_BYTES = 200
--- a/hitchtiller/repo/front.py
+++ b/hitchtiller/repo/front.py
@@ -19,7 +19,8 @@
 from hitchtiller.repo.body import BrokenBodyError
 from hitchtiller.repo.fetch import FetchFailedError, FetchRefusedError
 from hitchtiller.repo.service import Reply, Service, make_refusal
-from hitchtiller.sched import READ, Scheduler, Stream, StreamClosed, now_ms
+from hitchtiller.sched import READ, Scheduler, now_ms
+from hitchtiller.stream import Stream, StreamClosed
 
 MAX_HEADER_BYTES, MAX_HEADER_FIELDS = 16_384, 64  # bytes and number of fields of one request header
 MAX_REQUEST_BODY_BYTES = 65_536  # a longer request body is rejected; a shorter one is discarded
--- a/hitchtiller/sched.py
+++ b/hitchtiller/sched.py
@@ -1,19 +1,12 @@
-"""A cooperative scheduler: greenlets on one thread over `select.poll`, with timers and non-blocking streams.
+"""A cooperative scheduler: greenlets on one thread over `select.poll`, with timers.
 
 A greenlet parks until a socket is ready, a time has come or another greenlet wakes it. `Scheduler.run_once`
 is one round of the loop: poll, wake the greenlets whose events came, make the calls that are due, then run
-what is runnable. `Stream` is a TCP socket for greenlets. A greenlet is never preempted, so none may compute
-long.
+what is runnable. A greenlet is never preempted, so none may compute long.
 """
 
-import contextlib
-import errno
-import fcntl
 import heapq
 import select
-import socket
-import struct
-import termios
 import time
 from collections import deque
 from collections.abc import Callable
@@ -24,15 +17,12 @@
 
 from hitchtiller.log import logger
 
-RECV_BYTES = 65_536  # requested by one recv
-MAX_SEND_BUFFERS = 16  # passed to one sendmsg
 # A longer time between two polls means that the process did not run: its own sweeps are more frequent.
 MIN_STALL_MS = 300.0
 # After a longer time since the last poll, sockets are read before anything is sent, as clients may have left.
 LAG_LIMIT_MS = 20.0
 READ = select.POLLIN
 WRITE = select.POLLOUT
-KERNEL_INT = struct.Struct("i")  # the result of an ioctl
 
 
 def now_ms() -> float:
@@ -270,198 +260,3 @@
         """Schedule calls by a scheduler."""
         self.now_ms = now_ms
         self.later = sched.later
-
-
-class StreamClosed(Exception):
-    """The stream of a socket has ended; the text is the reason code."""
-
-
-class Stream:
-    """A non-blocking TCP socket: reads park the greenlet, writes are buffered.
-
-    The caller has to bound `unsent_bytes`; `buffered_bytes` is the total over all streams of the process.
-    """
-
-    open_count = 0  # open sockets of this process
-    buffered_bytes = 0  # in all of them, received and to be sent
-
-    def __init__(self, sched: Scheduler, sock: socket.socket) -> None:
-        """Take over a socket; it is closed by `close` only."""
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.sched, self.sock, self.fd = sched, sock, sock.fileno()
-        self.unsent: deque[memoryview] = deque()
-        self.unsent_bytes = 0  # bytes in `unsent`
-        self.sent_bytes = self.acknowledged_bytes = (
-            0  # handed to the kernel, and acknowledged at the last check
-        )
-        # When bytes were last sent or seen to be acknowledged, or a write last found `unsent` empty.
-        self.last_progress_ms = 0.0
-        self.is_flushing = False
-        self.input_drained = True  # no unread input is known: the last read emptied the receive buffer
-        self.close_code = ""  # reason code of the close; empty while open
-        self.reader_bytes = 0  # bytes of incomplete input that its reader holds
-        self.shutdown_requested = False  # writing is shut down once `unsent` is empty
-        Stream.open_count += 1
-
-    def connect(self, address: tuple[str, int], timeout_ms: float) -> None:
-        """Connect, or raise StreamClosed: `refused`, `silent` on a timeout, or the code of its close."""
-        error = self.sock.connect_ex(address)
-        if error == errno.EINPROGRESS:
-            if not self.sched.wait(self.fd, WRITE, timeout_ms):
-                raise StreamClosed("silent")
-            if self.close_code:
-                raise StreamClosed(self.close_code)
-            error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if error:
-            raise StreamClosed("refused")
-
-    def read(self, timeout_ms: float | None = None) -> bytes:
-        """Wait for bytes, or raise StreamClosed: `eof`, `reset`, `silent` on a timeout, or its code."""
-        while True:
-            if self.close_code:
-                raise StreamClosed(self.close_code)
-            if self.input_drained:  # nothing to read: trying recv first would waste a system call
-                self.input_drained = False
-                if not self.sched.wait(self.fd, READ, timeout_ms):
-                    raise StreamClosed("silent")
-                continue
-            try:
-                data = self.sock.recv(RECV_BYTES)
-            except BlockingIOError:
-                self.input_drained = True
-                continue
-            except OSError:
-                raise StreamClosed("reset") from None
-            if not data:
-                raise StreamClosed("eof")
-            self.input_drained = len(data) < RECV_BYTES
-            return data
-
-    def write(self, *parts: bytes | memoryview) -> None:
-        """Send what the socket accepts and buffer the rest; the caller has to bound `unsent_bytes`."""
-        if self.close_code:
-            return
-        if not self.unsent:
-            self.last_progress_ms = now_ms()
-        for part in parts:
-            if len(part):
-                self.unsent.append(memoryview(part))
-                self.unsent_bytes += len(part)
-                Stream.buffered_bytes += len(part)
-        if not self.is_flushing:
-            self._send_unsent()
-            if self.unsent and not self.close_code:
-                self.is_flushing = True
-                self.sched.spawn(self._flush)
-
-    def write_whole(self, data: bytes) -> bool:
-        """Send all of `data`, parking while the socket accepts no more; False if it was closed first."""
-        self.is_flushing = True
-        self.write(data)
-        self._send_unsent()
-        self._flush()
-        return not self.close_code
-
-    def set_reader_bytes(self, size: int) -> None:
-        """Set how many bytes of incomplete input its reader holds, for `buffered_bytes`."""
-        if size != self.reader_bytes and not self.close_code:
-            Stream.buffered_bytes += size - self.reader_bytes
-            self.reader_bytes = size
-
-    def has_input(self) -> bool:
-        """Return whether unread input has arrived; the end of the stream counts as input."""
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except OSError as error:
-            return not isinstance(error, BlockingIOError)
-        return True
-
-    def is_at_end(self) -> bool:
-        """Return whether the other side has closed or reset the connection and no data is left to read."""
-        try:
-            return not self.close_code and not self.sock.recv(1, socket.MSG_PEEK)
-        except OSError as error:
-            return not isinstance(error, BlockingIOError)
-
-    def undelivered_bytes(self) -> int:
-        """Return how many written bytes the other side's kernel has not acknowledged.
-
-        Where the system does not tell what its send buffer holds, only the unsent bytes count.
-        """
-        return self.unsent_bytes + self._bytes_in_send_buffer()
-
-    def _bytes_in_send_buffer(self) -> int:
-        """Return the size of the kernel's send queue (ioctl SIOCOUTQ, see tcp(7)); 0 if it can't be had."""
-        if self.close_code:
-            return 0
-        try:
-            result = fcntl.ioctl(self.fd, termios.TIOCOUTQ, bytes(KERNEL_INT.size))
-        except OSError:
-            return 0
-        return int(KERNEL_INT.unpack(result)[0])
-
-    def check_progress(self, now: float) -> None:
-        """Record progress at `now` if more bytes were acknowledged than at the last check."""
-        acknowledged_bytes = self.sent_bytes - self._bytes_in_send_buffer()
-        if acknowledged_bytes > self.acknowledged_bytes:
-            self.acknowledged_bytes, self.last_progress_ms = acknowledged_bytes, now
-
-    def discard_unsent(self) -> None:
-        """Drop all unsent data; nothing meaningful can be written on the stream after that."""
-        self.unsent.clear()
-        Stream.buffered_bytes -= self.unsent_bytes
-        self.unsent_bytes = 0
-
-    def _send_unsent(self) -> None:
-        while self.unsent:
-            try:
-                if len(self.unsent) == 1:
-                    sent = self.sock.send(self.unsent[0])
-                else:
-                    sent = self.sock.sendmsg(
-                        [self.unsent[i] for i in range(min(MAX_SEND_BUFFERS, len(self.unsent)))]
-                    )
-            except BlockingIOError:
-                return
-            except OSError:
-                self.close("reset")
-                return
-            self.unsent_bytes -= sent
-            self.sent_bytes += sent
-            Stream.buffered_bytes -= sent
-            self.last_progress_ms = now_ms()
-            while sent:
-                head = self.unsent[0]
-                if sent < len(head):
-                    self.unsent[0] = head[sent:]
-                    break
-                sent -= len(head)
-                self.unsent.popleft()
-
-    def _flush(self) -> None:
-        while self.unsent and not self.close_code:
-            self.sched.wait(self.fd, WRITE)
-            if not self.close_code:
-                self._send_unsent()
-        self.is_flushing = False
-        if self.shutdown_requested:
-            self.finish()
-
-    def finish(self) -> None:
-        """Shut down writing once all buffered data is sent; reading continues."""
-        self.shutdown_requested = True
-        if not self.unsent and not self.close_code:
-            with contextlib.suppress(OSError):
-                self.sock.shutdown(socket.SHUT_WR)
-
-    def close(self, code: str) -> None:
-        """Close the socket once; the first reason code is kept, and a parked reader is woken with it."""
-        if self.close_code:
-            return
-        self.set_reader_bytes(0)
-        self.close_code = code
-        self.discard_unsent()
-        self.sched.unregister(self.fd)
-        self.sock.close()
-        Stream.open_count -= 1
--- a/tests/ends/test_ends_descriptors.py
+++ b/tests/ends/test_ends_descriptors.py
@@ -25,7 +25,8 @@
 from hitchtiller.ops.holdouts import HoldOuts
 from hitchtiller.ops.sign import ProcessMarker
 from hitchtiller.ops.upgrade import Upgrade
-from hitchtiller.sched import Scheduler, Stream
+from hitchtiller.sched import Scheduler
+from hitchtiller.stream import Stream
 
 TIMEOUT_S = 5.0
 
--- a/tests/test_back.py
+++ b/tests/test_back.py
@@ -11,7 +11,8 @@
 from hitchtiller.codec.resp import RespError
 from hitchtiller.interface import Member
 from hitchtiller.news import ListedServer, Topology
-from hitchtiller.sched import Scheduler, StreamClosed
+from hitchtiller.sched import Scheduler
+from hitchtiller.stream import StreamClosed
 
 
 class Job:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -11,7 +11,8 @@
 from hitchtiller.front.asks import read_request
 from hitchtiller.front.client import Client
 from hitchtiller.front.server import Front
-from hitchtiller.sched import Scheduler, Stream, now_ms
+from hitchtiller.sched import Scheduler, now_ms
+from hitchtiller.stream import Stream
 
 
 class Deadlines(unittest.TestCase):
--- a/tests/test_sched.py
+++ b/tests/test_sched.py
@@ -5,7 +5,8 @@
 import unittest
 
 from hitchtiller.bus import CATCH_UP_LIMIT_MS, BusLink
-from hitchtiller.sched import MIN_STALL_MS, Scheduler, Stream, StreamClosed, now_ms
+from hitchtiller.sched import MIN_STALL_MS, Scheduler, now_ms
+from hitchtiller.stream import Stream, StreamClosed
 
 
 class SchedulerTest(unittest.TestCase):
