--- a/hitchtiller/decide.py
+++ b/hitchtiller/decide.py
@@ -777,7 +777,7 @@
         else:
             self.actions.append(api.SetTimer(SWEEP_MS, "sweep"))
             on_time, self.last_sweep_ms = self.now_ms - self.last_sweep_ms < 4.0 * SWEEP_MS, self.now_ms
-            # If this process itself lagged, answers may still be unread, and good servers would be ejected.
+            # After this process was stopped, answers may still be unread: good servers would be ejected.
             for attempt in list(self.in_flight.values()) if on_time else ():
                 self.check_overdue(attempt)
             self.on_lease_messages(self.leases.tick(self.now_ms))
--- a/hitchtiller/sched.py
+++ b/hitchtiller/sched.py
@@ -17,7 +17,7 @@
 
 from hitchtiller.log import logger
 
-# A longer time between two polls means that the process did not run: its own sweeps are more frequent.
+# A longer time between two polls means that the process was stopped: its own sweeps are more frequent.
 MIN_STALL_MS = 300.0
 # After a longer time since the last poll, sockets are read before anything is sent, as clients may have left.
 LAG_LIMIT_MS = 20.0
--- a/tests/ends/test_ends_links.py
+++ b/tests/ends/test_ends_links.py
@@ -175,6 +175,18 @@
         self.assertEqual(repeat.statuses, [])
 
 
+class StoppedProcess(LinkCase):
+    def test_answers_that_came_while_the_process_was_stopped_are_read_before_it_judges(self) -> None:
+        """A connection with unread answers must not be taken for stuck by a process that was stopped."""
+        job = Job(b"a")
+        link, server = self.write_job(job)
+        job.due_ms = now_ms() + 50.0
+        server.sendall(resp.write_command(b"a", b"DONE", b"-", bytes(150_000)))  # more than one read
+        time.sleep(2.0 * link_module.STUCK_AFTER_MS / 1000.0)  # no turn of the loop
+        self.wait_until(lambda: bool(job.statuses))
+        self.assertEqual((job.statuses, link.stream.close_code), (["DONE"], ""))
+
+
 class ConnectFailures(LinkCase):
     def test_a_connect_timeout_is_distinguished_from_a_refusal(self) -> None:
         """A slow connect was taken for a process that had ended, and its cache for a cold one."""
