--- a/hitchtiller/back/upstreams.py
+++ b/hitchtiller/back/upstreams.py
@@ -138,12 +138,15 @@
         sched.spawn(self._sweep)
 
     def _sweep(self) -> None:
+        last = now_ms()
         while True:
-            # After a pause of the process, readers whose sockets have answers are woken before this greenlet.
             self.sched.sleep(SWEEP_INTERVAL_MS)
             now = now_ms()
-            for link in [link for pool in self.pools.values() for link in pool.links]:
-                link.check(now)
+            # After a longer pause this process itself lagged, and answers may be unread in the sockets.
+            if now - last < 2.0 * SWEEP_INTERVAL_MS:
+                for link in [link for pool in self.pools.values() for link in pool.links]:
+                    link.check(now)
+            last = now
 
     def open(self, pool: Pool) -> Link | None:
         """Open a connection; return None if the process has no file descriptor left."""
--- a/hitchtiller/stream.py
+++ b/hitchtiller/stream.py
@@ -41,6 +41,7 @@
         self.sent_bytes = self.acknowledged_bytes = (
             0  # handed to the kernel, and acknowledged at the last check
         )
+        self.delivered_bytes = 0  # `sent_bytes` when the kernel's send queue was last found empty
         # When bytes were last sent or seen to be acknowledged, or a write last found `unsent` empty.
         self.last_progress_ms = 0.0
         self.is_flushing = False
@@ -139,13 +140,16 @@
 
     def _bytes_in_send_buffer(self) -> int:
         """Return the size of the kernel's send queue (ioctl SIOCOUTQ, see tcp(7)); 0 if it can't be had."""
-        if self.close_code:
+        if self.close_code or self.sent_bytes == self.delivered_bytes:  # no system call for idle connections
             return 0
         try:
             result = fcntl.ioctl(self.fd, termios.TIOCOUTQ, bytes(KERNEL_INT.size))
         except OSError:
             return 0
-        return int(KERNEL_INT.unpack(result)[0])
+        waiting_bytes = int(KERNEL_INT.unpack(result)[0])
+        if not waiting_bytes:
+            self.delivered_bytes = self.sent_bytes
+        return waiting_bytes
 
     def check_progress(self, now: float) -> None:
         """Record progress at `now` if more bytes were acknowledged than at the last check."""
