Log and count memory, what holds it, and the reasons of rejections and closes

What connections hold is charged to one account by kind (account.py, in place of Stream.buffered_bytes), now with open requests and their bodies. show-stat and a log line every 10 s have the resident and peak memory, the held bytes by kind, rejected requests by reason and closed connections by code; the last line of a client's connection has what it held.

tests/test_ops.py compared two readings of all figures; memory may change between two calls and is left out of that comparison, the rest is compared as before.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -6,10 +6,12 @@
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from itertools import count
 from pathlib import Path
 
 from hitchtiller import log
+from hitchtiller.account import Kind
 from hitchtiller.back.upstreams import Upstreams
 from hitchtiller.bus import BusLink
 from hitchtiller.config import Config, ConfigError, read_config
@@ -20,7 +22,9 @@
 from hitchtiller.ops.calls import OperatorCalls
 from hitchtiller.ops.control import ControlServer
 from hitchtiller.ops.holdouts import HoldOuts
+from hitchtiller.ops.process_memory import peak_bytes, resident_bytes
 from hitchtiller.ops.sign import ProcessMarker
+from hitchtiller.ops.stats import Stats
 from hitchtiller.ops.upgrade import Upgrade
 from hitchtiller.peers import Peers
 from hitchtiller.reload import Reload
@@ -39,7 +43,7 @@
 RESERVED_DESCRIPTORS = 48  # for the listener, the bus, the log and similar uses
 
 
-def log_counts(sched: Scheduler, engine: Engine, front: Front) -> None:
+def log_counts(sched: Scheduler, engine: Engine, front: Front, memory_mb: float) -> None:
     """Log a line at regular intervals: counts, open sockets and the lag of the loop."""
     while True:
         sched.sleep(COUNTS_INTERVAL_MS)
@@ -55,6 +59,31 @@
             sched.lag_ms,
         )
         sched.lag_ms = 0.0
+        log_memory(engine, memory_mb)
+
+
+def log_memory(engine: Engine, memory_mb: float) -> None:
+    """Log the memory of the process, what connections hold of it by kind, and why requests were rejected."""
+    held = [f"{kind}={size}" for kind, size in Stream.account.bytes_by_kind.items() if size]
+    rejected = [f"rejected.{reason}={count}" for reason, count in sorted(engine.stats.rejections.items())]
+    logger.info(
+        "memory rss_mb={:.1f} peak_mb={:.1f} limit_mb={} held={} {}",
+        resident_bytes() / 1e6,
+        peak_bytes() / 1e6,
+        memory_mb,
+        Stream.account.held_bytes,
+        " ".join(held + rejected),
+    )
+
+
+def add_memory_gauges(stats: Stats) -> None:
+    """Add the memory of the process, and what connections hold of it by kind, to the statistics."""
+    account = Stream.account
+    stats.gauges["memory.resident"] = resident_bytes
+    stats.gauges["memory.peak"] = peak_bytes
+    stats.gauges["memory.held"] = lambda: account.held_bytes
+    for kind in Kind:
+        stats.gauges[f"memory.held.{kind}"] = partial(account.bytes_by_kind.__getitem__, kind)
 
 
 def log_figures(sched: Scheduler, engine: Engine, back: Upstreams) -> None:
@@ -160,7 +189,8 @@
     sched.spawn(bus.run)
     if peers:
         sched.spawn(peers.run, engine)
-    sched.spawn(log_counts, sched, engine, front)
+    sched.spawn(log_counts, sched, engine, front, config.memory_mb)
+    add_memory_gauges(engine.stats)
     sched.spawn(log_figures, sched, engine, back)
     reload = Reload(config, os.environ, bus.move)
     Signals(sched, {signal.SIGTERM: upgrade.stop, signal.SIGINT: upgrade.stop, signal.SIGHUP: reload})
--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -10,6 +10,7 @@
 
 from greenlet import getcurrent, greenlet
 
+from hitchtiller.account import Kind
 from hitchtiller.back.jobs import Job
 from hitchtiller.codec import resp
 from hitchtiller.log import log_connection_end
@@ -42,7 +43,7 @@
         self.sched, self.server, self.address, self.max_jobs = sched, server, address, max_jobs
         self.connect_ms, self.idle_ms = timeouts
         self.on_close = on_close
-        self.stream = Stream(sched, socket.socket())
+        self.stream = Stream(sched, socket.socket(), Kind.PARTIAL_ANSWER, Kind.UNSENT_COMMAND)
         self.queue: deque[Job | bytes] = deque()
         self.queued_names: set[bytes] = set()  # names of the jobs in `queue`
         self.open_jobs: dict[bytes, Job] = {}
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -8,10 +8,12 @@
 from collections.abc import Callable
 
 from hitchtiller import interface as api
+from hitchtiller.account import Kind
 from hitchtiller.engine import Engine
 from hitchtiller.front.client import Client
 from hitchtiller.front.leave import HANDED_OVER, SERVING, DrainControl
 from hitchtiller.log import log_connection_end
+from hitchtiller.ops.stats import Rejection
 from hitchtiller.sched import READ, Scheduler, now_ms
 from hitchtiller.stream import Stream
 
@@ -86,15 +88,17 @@
         self.sched.unregister(self.listener.fileno())
         self.listener.close()
 
-    def accepts_request(self, arrived_ms: float) -> bool:
-        """Return whether a new request fits into the buffers and the event loop keeps up."""
+    def refusal_reason(self, arrived_ms: float) -> Rejection | None:
+        """Return why a new request is refused; None if it fits the buffers and the event loop keeps up."""
+        if self.refusing:
+            return Rejection.DRAINING
+        if Stream.account.held_bytes >= self.max_buffered_bytes:
+            return Rejection.MEMORY
         # A refusal costs a fraction of the time of an attempt, so that under overload the other requests
         # still meet their aims.
-        return (
-            not self.refusing
-            and Stream.buffered_bytes < self.max_buffered_bytes
-            and now_ms() - arrived_ms < MAX_REQUEST_AGE_MS
-        )
+        if now_ms() - arrived_ms >= MAX_REQUEST_AGE_MS:
+            return Rejection.LATE
+        return None
 
     def remove_client(self, client: Client) -> None:
         """Remove a client whose connection has ended."""
@@ -159,7 +163,8 @@
                 log_connection_end("client", peer, "full")
                 continue
             try:
-                client = Client(self, Stream(self.sched, sock), peer)
+                stream = Stream(self.sched, sock, Kind.PARTIAL_REQUEST, Kind.UNSENT_ANSWER)
+                client = Client(self, stream, peer)
             except OSError:  # the client has left in the meantime, which must not end the listener
                 sock.close()
                 continue
--- a/hitchtiller/log.py
+++ b/hitchtiller/log.py
@@ -4,12 +4,15 @@
 """
 
 import sys
+from collections import Counter
 from collections.abc import Callable
 from inspect import iscoroutinefunction
 from types import ModuleType
 from typing import Any
 
-__all__ = ["log_connection_end", "logger", "start"]
+__all__ = ["closes", "log_connection_end", "logger", "start"]
+
+closes: Counter[str] = Counter()  # ended connections of this process by "SIDE.CODE"
 
 
 def _import_loguru() -> None:
@@ -44,6 +47,7 @@
 
 def log_connection_end(side: str, peer: str, code: str, detail: str = "", **counts: int) -> None:
     """Log that a connection has ended, with its reason code and counts."""
+    closes[f"{side}.{code}"] += 1
     texts = [f"{name}={count}" for name, count in counts.items()]
     line = logger.bind(side=side, peer=peer, code=code, **counts)
     line.info("end {} {} code={} {}", side, peer, code, " ".join([*texts, detail] if detail else texts))
--- a/hitchtiller/stream.py
+++ b/hitchtiller/stream.py
@@ -11,6 +11,7 @@
 import termios
 from collections import deque
 
+from hitchtiller.account import Account, Holding, Kind
 from hitchtiller.sched import READ, WRITE, Scheduler, now_ms
 
 RECV_BYTES = 65_536  # requested by one recv
@@ -25,17 +26,24 @@
 class Stream:
     """A non-blocking TCP socket: reads park the greenlet, writes are buffered.
 
-    The caller has to bound `unsent_bytes`; `buffered_bytes` is the total over all streams of the process.
+    The caller has to bound `unsent_bytes`. All that a stream holds is charged to `account`.
     """
 
     open_count = 0  # open sockets of this process
-    buffered_bytes = 0  # in all of them, received and to be sent
-
-    def __init__(self, sched: Scheduler, sock: socket.socket) -> None:
-        """Take over a socket; it is closed by `close` only."""
+    account = Account()  # of this process
+
+    def __init__(
+        self,
+        sched: Scheduler,
+        sock: socket.socket,
+        input_kind: Kind = Kind.OTHER_INPUT,
+        output_kind: Kind = Kind.OTHER_OUTPUT,
+    ) -> None:
+        """Take over a socket; it is closed by `close` only. Its bytes are charged under the two kinds."""
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sched, self.sock, self.fd = sched, sock, sock.fileno()
+        self.holding, self.input_kind, self.output_kind = Holding(Stream.account), input_kind, output_kind
         self.unsent: deque[memoryview] = deque()
         self.unsent_bytes = 0  # bytes in `unsent`
         self.sent_bytes = self.acknowledged_bytes = (
@@ -47,7 +55,6 @@
         self.is_flushing = False
         self.input_drained = True  # no unread input is known: the last read emptied the receive buffer
         self.close_code = ""  # reason code of the close; empty while open
-        self.reader_bytes = 0  # bytes of incomplete input that its reader holds
         self.shutdown_requested = False  # writing is shut down once `unsent` is empty
         Stream.open_count += 1
 
@@ -95,7 +102,7 @@
             if len(part):
                 self.unsent.append(memoryview(part))
                 self.unsent_bytes += len(part)
-                Stream.buffered_bytes += len(part)
+                self.holding.add(self.output_kind, len(part))
         if not self.is_flushing:
             self._send_unsent()
             if self.unsent and not self.close_code:
@@ -111,10 +118,14 @@
         return not self.close_code
 
     def set_reader_bytes(self, size: int) -> None:
-        """Set how many bytes of incomplete input its reader holds, for `buffered_bytes`."""
-        if size != self.reader_bytes and not self.close_code:
-            Stream.buffered_bytes += size - self.reader_bytes
-            self.reader_bytes = size
+        """Set how many bytes of incomplete input its reader holds."""
+        if not self.close_code:
+            self.holding.set(self.input_kind, size)
+
+    @property
+    def reader_bytes(self) -> int:
+        """Return how many bytes of incomplete input its reader holds."""
+        return self.holding.get(self.input_kind)
 
     def has_input(self) -> bool:
         """Return whether unread input has arrived; the end of the stream counts as input."""
@@ -160,7 +171,7 @@
     def discard_unsent(self) -> None:
         """Drop all unsent data; nothing meaningful can be written on the stream after that."""
         self.unsent.clear()
-        Stream.buffered_bytes -= self.unsent_bytes
+        self.holding.add(self.output_kind, -self.unsent_bytes)
         self.unsent_bytes = 0
 
     def _send_unsent(self) -> None:
@@ -179,7 +190,7 @@
                 return
             self.unsent_bytes -= sent
             self.sent_bytes += sent
-            Stream.buffered_bytes -= sent
+            self.holding.add(self.output_kind, -sent)
             self.last_progress_ms = now_ms()
             while sent:
                 head = self.unsent[0]
