--- /dev/null
+++ b/tests/crowd/test_crowd.py
@@ -0,0 +1,22 @@
+"""Crowds of hostile clients against one gateway process with 64 MB and 1,024 descriptors."""
+
+import asyncio
+
+import pytest
+
+from standins.crowd import Result, run_crowd
+
+MEMORY_MB = 64
+CLIENTS = 300
+
+
+def run(behaviour: str, clients: int = CLIENTS, seconds: float = 3.0) -> Result:
+    """Run a crowd with seed 1; fail the test on any fault."""
+    result = asyncio.run(run_crowd(behaviour, clients, seconds, 1, MEMORY_MB))
+    assert not result.faults(MEMORY_MB), result
+    return result
+
+
+@pytest.mark.parametrize("behaviour", ["partial", "half-write", "too-long", "unread"])
+def test_slow_and_stopped_clients_neither_pass_the_memory_limit_nor_cost_others(behaviour: str) -> None:
+    run(behaviour)
