Bound the memory that connections make the process hold, per connection and in all

Cause: input was counted in part and bounded nowhere. Each connection could hold a frame of 262,144 bytes, 32 open and 32 queued bodies; max_buffered_bytes was only asked when a whole request came, and then refused the requests of others. A payload was held up to four times: in the reader's buffer, as received data, as a frame that a parked task still named, and as a body.

A dump of the objects in use showed frames of parked tasks as a quarter of what was held.

Change: all bytes are charged to the connection that caused them (account.py), at their cost in memory. A frame longer than any valid request is dropped as it arrives and answered once it is complete. A connection may hold one request whatever the others hold, more only as a share of what is free (dynamic threshold). Where room is lacking, partial requests lose theirs first, stopped ones before growing ones; answers that a client does not read are replaced by a failure; requests of others are refused last. A connection to a server loses a partial answer only when all room is used up. The limits moved to limits.py; copies and tables now have a part of their own in them.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -11,13 +11,14 @@
 from pathlib import Path
 
 from hitchtiller import log
-from hitchtiller.account import Kind
+from hitchtiller.account import Account, Kind
 from hitchtiller.back.upstreams import Upstreams
 from hitchtiller.bus import BusLink
 from hitchtiller.config import Config, ConfigError, read_config
 from hitchtiller.decide import Router
 from hitchtiller.engine import Engine
 from hitchtiller.front.server import Front
+from hitchtiller.limits import buffer_bytes, connection_limits
 from hitchtiller.log import logger
 from hitchtiller.ops.calls import OperatorCalls
 from hitchtiller.ops.control import ControlServer
@@ -36,11 +37,6 @@
 MEMORY_TIER_OPTION, MIN_TIER_MEMORY_MB = "--memory-tier", 64.0
 COUNTS_INTERVAL_MS, FIGURES_INTERVAL_MS = 10_000.0, 5_000.0
 GC_INTERVAL_MS = 1_000.0
-SERVING_MB = 26.0  # memory of the process in service, without its buffers
-EARLY_MB = 18.0  # soon after its start, as for two versions that run side by side
-# Clients beyond a third of the descriptors, so that a probe is accepted when clients hold all of that third.
-EXTRA_CLIENTS = 16
-RESERVED_DESCRIPTORS = 48  # for the listener, the bus, the log and similar uses
 
 
 def log_counts(sched: Scheduler, engine: Engine, front: Front, memory_mb: float) -> None:
@@ -59,26 +55,25 @@
             sched.lag_ms,
         )
         sched.lag_ms = 0.0
-        log_memory(engine, memory_mb)
+        log_memory(sched, engine, memory_mb)
 
 
-def log_memory(engine: Engine, memory_mb: float) -> None:
+def log_memory(sched: Scheduler, engine: Engine, memory_mb: float) -> None:
     """Log the memory of the process, what connections hold of it by kind, and why requests were rejected."""
-    held = [f"{kind}={size}" for kind, size in Stream.account.bytes_by_kind.items() if size]
+    held = [f"{kind}={size}" for kind, size in sched.account.bytes_by_kind.items() if size]
     rejected = [f"rejected.{reason}={count}" for reason, count in sorted(engine.stats.rejections.items())]
     logger.info(
         "memory rss_mb={:.1f} peak_mb={:.1f} limit_mb={} held={} {}",
         resident_bytes() / 1e6,
         peak_bytes() / 1e6,
         memory_mb,
-        Stream.account.held_bytes,
+        sched.account.held_bytes,
         " ".join(held + rejected),
     )
 
 
-def add_memory_gauges(stats: Stats) -> None:
+def add_memory_gauges(stats: Stats, account: Account) -> None:
     """Add the memory of the process, and what connections hold of it by kind, to the statistics."""
-    account = Stream.account
     stats.gauges["memory.resident"] = resident_bytes
     stats.gauges["memory.peak"] = peak_bytes
     stats.gauges["memory.held"] = lambda: account.held_bytes
@@ -94,31 +89,6 @@
         sched.sleep(FIGURES_INTERVAL_MS)
 
 
-def buffer_bytes(memory_mb: float, two_processes: bool) -> int:
-    """Return the bytes that all buffers may hold: half of the memory that the process leaves.
-
-    The other half is for copies. With `two_processes`, two processes share the limit.
-    """
-    own_mb, minimum_mb = (2.0 * EARLY_MB, 1.0) if two_processes else (SERVING_MB, 2.0)
-    return int(max(minimum_mb, (memory_mb - own_mb) / (4.0 if two_processes else 2.0)) * 1e6)
-
-
-def connection_limits(limit: int, two_processes: bool, is_younger: bool) -> tuple[int, int]:
-    """Return how many clients and how many connections to servers a process may hold.
-
-    With `two_processes`, two processes share the limit, and `is_younger` says which of them this is.
-    """
-    # Below a limit of 256 both reserves shrink: idle clients may use all of their share, and the connections
-    # to servers and to the bus need theirs.
-    reserved = min(RESERVED_DESCRIPTORS, limit * 3 // 16)
-    clients = limit // 3 + min(EXTRA_CLIENTS, limit // 16)
-    if not two_processes:
-        return clients, limit - clients - reserved
-    # bounds the sum of two processes: silent clients may hold all of the older one's third
-    half_clients = clients // 2
-    return half_clients if is_younger else clients, max(1, (limit - clients - half_clients - reserved) // 2)
-
-
 def shared_folder(name: str) -> Path | None:
     """Return the folder that the processes of one gateway share; the gateway also serves without one."""
     if name and os.access(name, os.W_OK | os.X_OK):
@@ -176,7 +146,7 @@
         bus.apply(event)
 
     def set_limits(two_processes: bool, is_younger: bool) -> None:
-        front.max_buffered_bytes = buffer_bytes(config.memory_mb, two_processes)
+        sched.account.limit_bytes = buffer_bytes(config.memory_mb, two_processes)
         front.max_clients, back.max_links = connection_limits(config.sockets, two_processes, is_younger)
 
     marker = ProcessMarker(folder) if folder else None
@@ -190,7 +160,7 @@
     if peers:
         sched.spawn(peers.run, engine)
     sched.spawn(log_counts, sched, engine, front, config.memory_mb)
-    add_memory_gauges(engine.stats)
+    add_memory_gauges(engine.stats, sched.account)
     sched.spawn(log_figures, sched, engine, back)
     reload = Reload(config, os.environ, bus.move)
     Signals(sched, {signal.SIGTERM: upgrade.stop, signal.SIGINT: upgrade.stop, signal.SIGHUP: reload})
--- a/hitchtiller/account.py
+++ b/hitchtiller/account.py
@@ -1,11 +1,31 @@
-"""The account of the memory that other parties make this process hold, by kind and by connection.
+"""The account of the memory that other parties make this process hold, and who may hold more.
 
-Each connection has a `Holding`, to which the bytes are charged from the moment they are held until they are
-freed: partial frames, queued and open requests, unsent data, partial answers. `Account` has the totals.
+Each connection has a `Holding`, to which bytes are charged from the moment they are held until they are
+freed: partial frames, queued and open requests, unsent data, partial answers. `Account` has the totals and
+their limit.
+
+No connection pays for another's bytes. Each may hold WHOLE_REQUEST_BYTES of requests as long as there is
+room. Beyond that it may use a share of what is free below a part of the limit (a dynamic threshold, as in the
+shared buffers of switches): the more is used, the less each may add, so that room stays for the others.
 """
 
+import math
+import sys
 from enum import StrEnum
 
+WHOLE_REQUEST_BYTES = 65_536  # of requests on one connection, whatever the others hold
+SMALL_REQUEST_BYTES = 8_192  # up to this cost a request may use the whole limit
+LARGE_REQUEST_SHARE = 0.9  # of the limit, for requests above that; the rest is kept for the small ones
+ANSWER_SHARE = 0.85  # of the limit, for unsent answers; the rest is kept for requests
+SMALL_ANSWERS_BYTES = 65_536  # of unsent answers on one connection, whatever the others hold
+SHARED_SHARE, HOLDER_SHARE = (
+    0.4,
+    0.25,
+)  # requests beyond WHOLE_REQUEST_BYTES: of the limit; of what is free of it
+MIN_READ_BYTES, MAX_READ_BYTES = 16_384, 65_536  # requested by one recv
+READ_SHARE = 1 / 16  # of the free bytes, for one recv
+PART_BYTES = 256  # cost of one buffered part of a stream beside its bytes
+
 
 class Kind(StrEnum):
     """What the bytes of a holding are; the values are names of figures."""
@@ -21,12 +41,41 @@
 
 
 class Account:
-    """The totals over all connections of the process."""
+    """The totals over all connections of the process, and their limit in bytes."""
 
     def __init__(self) -> None:
-        """Start with nothing held."""
+        """Start with nothing held and no limit."""
         self.held_bytes = 0
         self.bytes_by_kind = dict.fromkeys(Kind, 0)
+        self.limit_bytes = math.inf
+
+    def may_hold_request(self, holding: "Holding", size: int) -> bool:
+        """Return whether a connection may hold one more request that costs `size` bytes."""
+        limit = self.limit_bytes if size <= SMALL_REQUEST_BYTES else LARGE_REQUEST_SHARE * self.limit_bytes
+        if self.held_bytes + size > limit:
+            return False
+        free_shared = SHARED_SHARE * self.limit_bytes - self.held_bytes
+        return holding.request_bytes() + size <= max(WHOLE_REQUEST_BYTES, HOLDER_SHARE * free_shared)
+
+    def may_hold_answer(self, holding: "Holding", size: int) -> bool:
+        """Return whether a connection may hold `size` bytes more of answers that its client does not read."""
+        unsent_bytes = holding.get(Kind.UNSENT_ANSWER) + size
+        if unsent_bytes <= SMALL_ANSWERS_BYTES and self.held_bytes + size <= self.limit_bytes:
+            return True
+        return unsent_bytes <= ANSWER_SHARE * self.limit_bytes - self.held_bytes
+
+    def lacks_room(self, size: int = 0) -> bool:
+        """Return whether partial requests have to be dropped so that a request of `size` bytes finds room."""
+        return self.held_bytes + size > LARGE_REQUEST_SHARE * self.limit_bytes
+
+    def is_full(self) -> bool:
+        """Return whether the limit is reached."""
+        return self.held_bytes >= self.limit_bytes
+
+    def read_bytes(self) -> int:
+        """Return how many bytes may be requested by one recv."""
+        free = READ_SHARE * (self.limit_bytes - self.held_bytes)
+        return int(min(MAX_READ_BYTES, max(MIN_READ_BYTES, free)))
 
 
 class Holding:
@@ -52,10 +101,18 @@
         """Set how many bytes of a kind are held."""
         self.add(kind, size - self.bytes_by_kind.get(kind, 0))
 
+    def set_buffer(self, kind: Kind, buffer: bytearray) -> None:
+        """Set the bytes of a kind to what a buffer takes in memory, which is more than its length."""
+        self.set(kind, sys.getsizeof(buffer) if buffer else 0)
+
     def get(self, kind: Kind) -> int:
         """Return how many bytes of a kind are held."""
         return self.bytes_by_kind.get(kind, 0)
 
+    def request_bytes(self) -> int:
+        """Return how many bytes of whole requests are held."""
+        return self.get(Kind.OPEN_REQUEST) + self.get(Kind.QUEUED_REQUEST)
+
     def release(self) -> None:
         """Free all that is held."""
         for kind in self.bytes_by_kind:
--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -38,11 +38,15 @@
         timeouts: tuple[float, float],
         max_jobs: int,
         on_close: Callable[["Link", list[Job]], None],
+        on_full: Callable[[], None],
     ) -> None:
-        """Start to connect; `timeouts` are the connect timeout and the servers' idle timeout in ms."""
+        """Start to connect; `timeouts` are the connect timeout and the servers' idle timeout in ms.
+
+        `on_full` is called when a partial answer arrives and there is no room left.
+        """
         self.sched, self.server, self.address, self.max_jobs = sched, server, address, max_jobs
         self.connect_ms, self.idle_ms = timeouts
-        self.on_close = on_close
+        self.on_close, self.on_full = on_close, on_full
         self.stream = Stream(sched, socket.socket(), Kind.PARTIAL_ANSWER, Kind.UNSENT_COMMAND)
         self.queue: deque[Job | bytes] = deque()
         self.queued_names: set[bytes] = set()  # names of the jobs in `queue`
@@ -176,7 +180,9 @@
             for items in self.reader.feed(data):
                 self.last_growth_ms, self.growth_bytes = self.last_read_ms, 0
                 self._handle_answer(items)
-            self.stream.set_reader_bytes(len(self.reader.buffer))
+            self.stream.charge_reader(self.reader.buffer)
+            if self.sched.account.is_full():
+                self.on_full()
 
     def _handle_answer(self, items: list[bytes]) -> None:
         if len(items) != resp.ANSWER_ITEMS:
@@ -229,6 +235,7 @@
                 self.writing = None
                 if is_sent and not self.is_retired and not isinstance(job, bytes):
                     job.on_sent()
+                del job, data  # this task may be parked for long
 
     def _start_job(self, job: Job) -> bytes | None:
         """Return a job's command and expect its answer from now on; None if the job withdrew."""
--- a/hitchtiller/back/upstreams.py
+++ b/hitchtiller/back/upstreams.py
@@ -21,6 +21,7 @@
 # Jobs on one connection from which another one is opened, and how many connections that may lead to.
 SPREAD_JOBS, MAX_LINKS_PER_SERVER = 3, 6
 SWEEP_INTERVAL_MS = 100.0
+MIN_RELIEF_BYTES = 16_384  # of a partial answer: closing a connection for less frees too little
 
 
 class Pool:
@@ -159,6 +160,7 @@
                 self.timeouts,
                 self.jobs_per_link,
                 pool.on_link_closed,
+                self.relieve_memory,
             )
         except OSError as error:
             log_connection_end("server", listed.member.server, "no-descriptor", error.strerror or "")
@@ -168,6 +170,13 @@
         self.opened_count += 1
         return link
 
+    def relieve_memory(self) -> None:
+        """Close the connection with the largest partial answer, as there is no room left."""
+        links = [link for pool in self.pools.values() for link in pool.links]
+        largest = max(links, key=lambda link: link.stream.reader_bytes, default=None)
+        if largest and largest.stream.reader_bytes > MIN_RELIEF_BYTES:
+            largest.close("memory")
+
     def send(self, attempt: Attempt) -> None:
         """Send an attempt to its server, delayed until no earlier attempt of its request can be running."""
         if (wait_ms := attempt.exchange.blocked_until_ms - now_ms()) > 0.0:
--- a/hitchtiller/codec/frames.py
+++ b/hitchtiller/codec/frames.py
@@ -3,10 +3,12 @@
 import struct
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from enum import Enum
 
 REQUEST, ANSWER, GIVE_UP, READY, READY_ANSWER, GOING = 7, 8, 9, 1, 2, 3
 SERVED, REFUSED, FAILED = 0, 11, 5
 MIN_LENGTH, MAX_LENGTH = 5, 262_144  # bounds of a frame's length field, in bytes
+LARGE_LENGTH = 4_096  # from this length on a frame's bytes are removed from the buffer at once
 HEAD = struct.Struct(">IBI")  # length, type, stream
 
 
@@ -14,28 +16,60 @@
     """The bytes are not a valid frame; nothing after them can be decoded either."""
 
 
+class Dropped(Enum):
+    """Why the payload of a frame was dropped."""
+
+    TOO_LONG = "too long"  # over the reader's limit
+    NO_ROOM = "no room"  # dropped by the reader's owner before the frame was complete
+
+
 @dataclass(slots=True)
 class Frame:
-    """One complete frame."""
+    """One complete frame; a frame whose payload was dropped has an empty one and the reason."""
 
     kind: int
     stream: int
     payload: bytes
+    dropped: Dropped | None = None
 
 
 class FrameReader:
     """An incremental decoder: feed it bytes and iterate over the frames.
 
-    Between calls it buffers less than one frame.
+    Between calls it buffers less than one frame. A payload that is longer than `max_payload_bytes` is dropped
+    as it arrives; its frame is still yielded once it is complete.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_payload_bytes: int = MAX_LENGTH) -> None:
         """Start with an empty buffer."""
         self.buffer = bytearray()
-
-    def feed(self, data: bytes) -> Iterator[Frame]:
-        """Yield the frames that are complete; raise FrameError for invalid bytes."""
+        self.max_payload_bytes = max_payload_bytes
+        self.dropping: Frame | None = None  # the frame whose payload is being dropped
+        self.remaining_bytes = self.dropped_bytes = 0  # of its payload: still to arrive, and dropped so far
+
+    @property
+    def in_frame(self) -> bool:
+        """Return whether a frame has begun and is not complete."""
+        return bool(self.buffer or self.dropping)
+
+    @property
+    def arrived_bytes(self) -> int:
+        """Return how much of the current frame has arrived, with what was dropped of it."""
+        return self.dropped_bytes if self.dropping else len(self.buffer)
+
+    def feed(self, data: bytes | memoryview) -> Iterator[Frame]:
+        """Yield the frames that are complete; raise FrameError for invalid bytes.
+
+        No reference to `data` is kept.
+        """
+        if self.dropping:
+            data = self._drop(data)
+            if self.remaining_bytes:
+                return
         self.buffer += data
+        del data
+        if self.dropping:
+            yield self._take_dropped()
         start = 0
         try:
             while len(self.buffer) - start >= 4:
@@ -43,15 +77,55 @@
                 if not MIN_LENGTH <= length <= MAX_LENGTH:
                     raise FrameError(f"length {length} is out of bounds")
                 end = start + 4 + length
+                if length - MIN_LENGTH > self.max_payload_bytes and len(self.buffer) - start >= HEAD.size:
+                    start = self._start_dropping(start, end, Dropped.TOO_LONG)
+                    if self.remaining_bytes:
+                        break
+                    yield self._take_dropped()
+                    continue
                 if len(self.buffer) < end:
                     break
-                _, kind, stream = HEAD.unpack_from(self.buffer, start)
-                payload = bytes(memoryview(self.buffer)[start + HEAD.size : end])
-                start = end
-                yield Frame(kind, stream, payload)
+                is_large = length > LARGE_LENGTH
+                frame_start, start = start, 0 if is_large else end
+                yield self._take_frame(frame_start, end, is_large)  # no name here would let go of the payload
         finally:
             del self.buffer[:start]
 
+    def _take_frame(self, start: int, end: int, is_large: bool) -> Frame:
+        """Return the frame between two positions; a large one is removed at once, so that it is held once."""
+        _, kind, stream = HEAD.unpack_from(self.buffer, start)
+        frame = Frame(kind, stream, bytes(memoryview(self.buffer)[start + HEAD.size : end]))
+        if is_large:
+            del self.buffer[:end]
+        return frame
+
+    def drop_partial(self) -> None:
+        """Drop what has arrived of the current frame's payload, and the rest of it once it arrives."""
+        if len(self.buffer) >= HEAD.size:
+            length = int.from_bytes(self.buffer[:4], "big")
+            del self.buffer[: self._start_dropping(0, 4 + length, Dropped.NO_ROOM)]
+
+    def _start_dropping(self, start: int, end: int, reason: Dropped) -> int:
+        """Drop the payload of the frame at `start` of the buffer; return the end of what has arrived."""
+        _, kind, stream = HEAD.unpack_from(self.buffer, start)
+        self.dropping = Frame(kind, stream, b"", reason)
+        arrived_end = min(end, len(self.buffer))
+        self.remaining_bytes, self.dropped_bytes = end - arrived_end, arrived_end - start
+        return arrived_end
+
+    def _take_dropped(self) -> Frame:
+        """Return the frame whose payload was dropped, once it is complete."""
+        assert self.dropping
+        frame, self.dropping = self.dropping, None
+        return frame
+
+    def _drop(self, data: bytes | memoryview) -> bytes | memoryview:
+        """Drop bytes of the current frame's payload; return the bytes behind it."""
+        dropped_bytes = min(len(data), self.remaining_bytes)
+        self.remaining_bytes -= dropped_bytes
+        self.dropped_bytes += dropped_bytes
+        return memoryview(data)[dropped_bytes:]
+
 
 def head(kind: int, stream: int, size: int) -> bytes:
     """Return the head of a frame whose payload has `size` bytes."""
--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -22,6 +22,7 @@
     AttemptResult,
     ClientRequest,
     Exchange,
+    Requester,
     SendLimits,
 )
 from hitchtiller.log import logger
@@ -131,9 +132,14 @@
         """Return whether a request with this id is open, from any client."""
         return id.lower() in self.open_ids
 
-    def accept(self, request: ClientRequest, deliver: Callable[[Answer], None]) -> Exchange:
+    def accept(
+        self,
+        request: ClientRequest,
+        deliver: Callable[[Answer], None],
+        requester: Requester | None = None,
+    ) -> Exchange:
         """Start handling a request; `deliver` receives its final answer unless the client leaves."""
-        exchange = Exchange(next(self.request_numbers), request, deliver)
+        exchange = Exchange(next(self.request_numbers), request, deliver, requester)
         self.open_exchanges[exchange.number] = exchange
         self.open_ids.add(request.id.lower())
         self.stats.requests_accepted += 1
@@ -206,7 +212,10 @@
         """Deliver the final answer, at most once."""
         if self.copies and answer.kind != SERVED:
             answer = self.copies.fallback(exchange, answer)
-        request = exchange.request
+        request, requester = exchange.request, exchange.requester
+        if answer.body and requester and not exchange.is_over and not requester.has_room(len(answer.body)):
+            self.stats.record_rejection(Rejection.UNREAD)
+            answer = Answer(FAILED)  # its client reads too slowly for all its answers to be held
         if answer.kind == REFUSED and not self.effects.retry_is_safe(
             request.class_name, request.dedupe, self.clock.now_ms()
         ):
--- a/hitchtiller/exchange.py
+++ b/hitchtiller/exchange.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 from hitchtiller import interface as api
 from hitchtiller.log import logger
@@ -112,17 +112,30 @@
         self.end(AttemptResult(status if self.written else "skipped"))
 
 
+class Requester(Protocol):
+    """The client that a request came from, as far as the engine has to know it."""
+
+    def has_room(self, size: int) -> bool:
+        """Return whether an answer with a body of `size` bytes can be written or held for the client."""
+
+
 class Exchange:
     """An accepted request; it gets exactly one final answer unless its client leaves."""
 
     __slots__ = (
         "request", "attempts", "confirm_tag", "is_routed", "deliver", "cancel_deadline", "blocked_until_ms",
-        "number", "is_over", "accepted_ms",
+        "number", "is_over", "accepted_ms", "requester",
     )  # fmt: skip
 
-    def __init__(self, number: int, request: ClientRequest, deliver: Callable[[Answer], None]) -> None:
+    def __init__(
+        self,
+        number: int,
+        request: ClientRequest,
+        deliver: Callable[[Answer], None],
+        requester: Requester | None = None,
+    ) -> None:
         """Start with a request; `deliver` sends the final answer to the client."""
-        self.number, self.request, self.deliver = number, request, deliver
+        self.number, self.request, self.deliver, self.requester = number, request, deliver, requester
         self.attempts: list[Attempt] = []
         self.cancel_deadline: Callable[[], None] | None = None  # cancels the timer of its deadline
         self.is_over = False
--- a/hitchtiller/front/asks.py
+++ b/hitchtiller/front/asks.py
@@ -8,7 +8,8 @@
 from hitchtiller.codec import frames
 from hitchtiller.exchange import REFUSED, SERVED, Answer, ClientRequest
 
-MAX_BODY_BYTES = 48_000
+MAX_BODY_BYTES, MAX_FIELDS_BYTES = 48_000, 16_384
+MAX_REQUEST_BYTES = MAX_FIELDS_BYTES + MAX_BODY_BYTES  # payload of a request frame
 MAX_WAIT_MS = 3_600_000.0
 # Part of the client's waiting time that is reserved for the network and for the event loop, which takes 0.1 s
 # on a busy day. A quarter of a short wait was too much: answers that came in the last 60 ms of impatient
--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -8,10 +8,10 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from hitchtiller.account import Kind
+from hitchtiller.account import SMALL_REQUEST_BYTES, Kind
 from hitchtiller.codec import frames
 from hitchtiller.exchange import FAILED, REFUSED, Answer, Exchange
-from hitchtiller.front.asks import RequestError, read_request, write_answer
+from hitchtiller.front.asks import MAX_REQUEST_BYTES, RequestError, read_request, write_answer
 from hitchtiller.front.reading import ReadingEstimate
 from hitchtiller.log import log_connection_end
 from hitchtiller.ops.stats import Rejection
@@ -26,6 +26,8 @@
 HIGH_WATER_BYTES = 1_000_000  # unsent bytes above which new requests of the client wait (backpressure)
 MAX_EXCESS_REQUESTS = 32  # consecutive requests above MAX_OPEN_REQUESTS that are refused before a disconnect
 FRAMES_PER_TURN = 16  # a burst of hundreds of frames must not delay the other connections
+MIN_DROP_BYTES = 1_024  # of a partial request: dropping less frees too little
+STOPPED_MS = 300.0  # without a byte: a partial request that is dropped before those that still grow
 FRAME_TIMEOUT_MS = 2_200.0  # for the first whole frame, and for the rest of a partial one
 # A partial frame that grows by this much starts its timeout again, but has to be complete after MAX_FRAME_MS.
 MIN_GROWTH_BYTES, MAX_FRAME_MS = 32, 6_000.0
@@ -34,7 +36,12 @@
 QUEUE_CHECK_MS = 20.0
 DEFAULT_LINGER_MS = 1_500.0  # how long a closing connection reads and drops input
 CLOSE_LINGER_MS = 100.0  # the same for one that was idle; clients resend elsewhere what crosses the close
+QUEUED_REQUEST_BYTES = 512  # memory of a queued request beside its payload
 OPEN_REQUEST_BYTES = 4_096  # memory of an open request beside its body: its records here and in the router
+REJECTION_OF_DROPPED = {
+    frames.Dropped.TOO_LONG: Rejection.TOO_LONG,
+    frames.Dropped.NO_ROOM: Rejection.MEMORY,
+}
 REJECTION_BY_CODE = {"flood": Rejection.FLOOD, "bad-frame": Rejection.BAD_FRAME}
 
 
@@ -65,11 +72,11 @@
         """Take over an accepted connection."""
         self.front, self.stream, self.remote_address = front, stream, remote_address
         self.open_exchanges: dict[int, Exchange] = {}
+        self.reader = frames.FrameReader(MAX_REQUEST_BYTES)
         self.stream_numbers = StreamNumbers()
         self.reading = ReadingEstimate()
         # Requests that arrived while more than HIGH_WATER_BYTES were unsent, with their arrival times.
         self.queued_requests: dict[int, tuple[frames.Frame, float]] = {}
-        self.incomplete_bytes = 0  # size of a frame that has only partly arrived
         self.excess_requests = 0  # consecutive requests refused because too many were open
         self.close_code = ""  # reason code; set once the connection closes after its last answer
         self.discards_input = False  # input is dropped: it can't be parsed, or can't be answered any more
@@ -78,6 +85,7 @@
         self.going_sent = False  # the client was told to send no new requests here
         self.last_probe_ms = -math.inf  # last READY frame
         self.arrived_ms = self.last_activity_ms = now_ms()  # last activity: a whole frame or an answer
+        self.last_input_ms, self.is_parsing = self.arrived_ms, False
         # When the pending frame last grew by MIN_GROWTH_BYTES; None while no frame is due. The first frame is
         # due from the start.
         self.frame_progress_ms: float | None = self.last_activity_ms
@@ -87,26 +95,13 @@
 
     def run(self) -> None:
         """Serve the connection until it ends."""
-        reader = frames.FrameReader()
+        reader = self.reader
         try:
             while True:
-                was_drained = self.stream.input_drained
-                data = self.stream.read()
-                # Left-over data was there at an earlier poll already: its deadlines count from that one.
-                if was_drained:
-                    self.arrived_ms = self.front.sched.earliest_arrival_ms
-                # After a long turn the end of the stream may already follow the requests in the socket
-                # buffer: requests of a client that has disconnected are not started.
-                if (
-                    now_ms() - self.arrived_ms > LAG_LIMIT_MS
-                    and self.stream.input_drained
-                    and self.stream.is_at_end()
-                ):
-                    raise StreamClosed("eof")
-                if not self.discards_input:
-                    self._receive(reader, data)
+                self._receive(reader, self._read())
                 if self.discards_input:
-                    self.stream.set_reader_bytes(0)
+                    reader.buffer.clear()
+                    self._count_buffered()
                     self.front.sched.sleep(2.0)  # keeps a fast sender of 60 MB from occupying the loop
                 elif not self.stream.input_drained:
                     self.front.sched.pause()
@@ -129,12 +124,38 @@
             for exchange in exchanges:
                 self.front.engine.client_left(exchange)
 
+    def _read(self) -> bytes:
+        """Wait for bytes; raise StreamClosed at the end of the stream."""
+        was_drained = self.stream.input_drained
+        data = self.stream.read()
+        # Left-over data was there at an earlier poll already: its deadlines count from that one.
+        if was_drained:
+            self.arrived_ms = self.front.sched.earliest_arrival_ms
+        # After a long turn the end of the stream may already follow the requests in the socket buffer:
+        # requests of a client that has disconnected are not started.
+        if (
+            now_ms() - self.arrived_ms > LAG_LIMIT_MS
+            and self.stream.input_drained
+            and self.stream.is_at_end()
+        ):
+            raise StreamClosed("eof")
+        return data
+
     def _receive(self, reader: frames.FrameReader, data: bytes) -> None:
-        arrived_ms, started_ms = self.arrived_ms, now_ms()
+        if self.discards_input:
+            return
+        arrived_ms, self.last_input_ms = self.arrived_ms, now_ms()
+        started_ms = self.last_input_ms
+        incoming = reader.feed(data)
+        del data  # the reader's buffer has it, which is charged; this task may be parked for long
+        self.is_parsing, count = True, 0
         try:
-            for count, frame in enumerate(reader.feed(data), 1):
+            for frame in incoming:
+                count += 1
                 self.has_sent_frame, self.last_activity_ms, self.frame_progress_ms = True, started_ms, None
+                self._count_buffered()
                 self._handle_frame(frame, arrived_ms)
+                del frame  # its payload is not charged any more, and this task may be parked for long
                 if count % FRAMES_PER_TURN == 0:
                     self.front.sched.pause()
                 if self.stream.close_code:
@@ -144,16 +165,36 @@
         except frames.FrameError:
             reader.buffer.clear()
             self.fail_all("bad-frame")
-        self.incomplete_bytes = buffered = len(reader.buffer)
+        finally:
+            self.is_parsing = False
         self._count_buffered()
-        if buffered and self.frame_progress_ms is None:
-            self.frame_started_ms = started_ms
+        self._check_progress(reader.arrived_bytes, started_ms)
+        if self.front.account.lacks_room():
+            self.front.relieve_memory()
+
+    def _check_progress(self, arrived_bytes: int, now: float) -> None:
+        """Restart the timeout of a partial frame if enough of it has arrived since the last restart."""
+        if arrived_bytes and self.frame_progress_ms is None:
+            self.frame_started_ms = now
         # Progress restarts the timeout: requests that arrived in pieces over more than 2.2 s were cut off
         # although they kept growing.
-        if buffered and (
-            self.frame_progress_ms is None or buffered >= self.frame_progress_bytes + MIN_GROWTH_BYTES
+        if arrived_bytes and (
+            self.frame_progress_ms is None or arrived_bytes >= self.frame_progress_bytes + MIN_GROWTH_BYTES
         ):
-            self.frame_progress_ms, self.frame_progress_bytes = started_ms, buffered
+            self.frame_progress_ms, self.frame_progress_bytes = now, arrived_bytes
+
+    def relief_order(self, now: float) -> tuple[bool, int]:
+        """Return the order in which partial requests are dropped for want of room; the largest goes first."""
+        size = 0 if self.is_parsing else self.stream.holding.get(Kind.PARTIAL_REQUEST)
+        return size > MIN_DROP_BYTES and now - self.last_input_ms > STOPPED_MS, size
+
+    def drop_partial_request(self) -> bool:
+        """Drop the bytes of a partial request, which then fails at its end; False if that frees little."""
+        if self.is_parsing or len(self.reader.buffer) <= MIN_DROP_BYTES:
+            return False
+        self.reader.drop_partial()
+        self._count_buffered()
+        return True
 
     def fail_all(self, code: str) -> None:
         """Answer FAILED on stream 0 and to all open and queued requests, drop further input and close."""
@@ -205,12 +246,13 @@
 
     def _handle_frame(self, frame: frames.Frame, arrived_ms: float) -> None:
         if frame.kind == frames.REQUEST:
-            if self.stream.unsent_bytes <= HIGH_WATER_BYTES and not self.queued_requests:
+            if self._reads_answers() and not self.queued_requests:
                 self._handle_request(frame, arrived_ms)
             elif len(self.queued_requests) < MAX_OPEN_REQUESTS and frame.stream not in self.queued_requests:
                 if not self.queued_requests:
                     self.front.sched.spawn(self._process_queued)
                 self.queued_requests[frame.stream] = (frame, arrived_ms)
+                self._count_buffered()
             else:
                 self._fail_flood()
         elif frame.kind == frames.GIVE_UP:
@@ -219,7 +261,7 @@
                 self.front.engine.client_left(exchange)
         elif frame.kind == frames.READY:
             self.last_probe_ms = now_ms()
-            if self.stream.unsent_bytes > HIGH_WATER_BYTES:
+            if not self._reads_answers():
                 return self._fail_flood()
             code = frames.REFUSED if self.front.client_unready_reason() else frames.SERVED
             payload = bytes([code]) + frames.write_fields({})
@@ -229,8 +271,24 @@
 
     def _count_buffered(self) -> None:
         """Charge the bytes held in partial frames and queued requests."""
-        queued_bytes = sum(len(frame.payload) for frame, _ in self.queued_requests.values())
-        self.stream.set_reader_bytes(self.incomplete_bytes + queued_bytes)
+        self.stream.charge_reader(self.reader.buffer)
+        if self.queued_requests or self.stream.holding.get(Kind.QUEUED_REQUEST):
+            frames_bytes = sum(len(frame.payload) for frame, _ in self.queued_requests.values())
+            queued_bytes = frames_bytes + QUEUED_REQUEST_BYTES * len(self.queued_requests)
+            self.stream.holding.set(Kind.QUEUED_REQUEST, queued_bytes)
+
+    def _reads_answers(self) -> bool:
+        """Return whether the client has read so much of its answers that more may be written."""
+        return not self.stream.unsent_bytes or (
+            self.stream.unsent_bytes <= HIGH_WATER_BYTES
+            and self.front.account.may_hold_answer(self.stream.holding, 0)
+        )
+
+    def has_room(self, size: int) -> bool:
+        """Return whether an answer with a body of `size` bytes can be written or held for the client."""
+        if not self.stream.undelivered_bytes():  # the kernel takes it, or most of it
+            return size <= SMALL_REQUEST_BYTES or not self.front.account.is_full()
+        return self.front.account.may_hold_answer(self.stream.holding, size)
 
     def _fail_flood(self) -> None:
         """Disconnect a client that sends too many requests, or keeps sending while it reads no answers."""
@@ -243,7 +301,7 @@
         Reading goes on meanwhile, so that a GIVE_UP frame or a disconnect is noticed at once.
         """
         while self.queued_requests and not self.stream.close_code:
-            if self.stream.unsent_bytes > HIGH_WATER_BYTES:
+            if not self._reads_answers():
                 self.front.sched.sleep(QUEUE_CHECK_MS)
                 continue
             frame, arrived_ms = self.queued_requests.pop(next(iter(self.queued_requests)))
@@ -259,6 +317,8 @@
         stream = frame.stream
         if stream in self.open_exchanges:  # two answers under one number could not be told apart
             raise frames.FrameError(f"stream number {stream} is still open")
+        if frame.dropped:
+            return self._reject(stream, FAILED, REJECTION_OF_DROPPED[frame.dropped])
         try:
             request = read_request(frame.payload, self.front.settings, arrived_ms)
         except RequestError as error:  # an invalid request is never forwarded
@@ -272,19 +332,24 @@
         self.excess_requests = self.excess_requests + 1 if is_full else 0
         if self.excess_requests > MAX_EXCESS_REQUESTS:
             return self._fail_flood()
-        if reason := self._refusal_reason(is_full, arrived_ms):
+        cost = OPEN_REQUEST_BYTES + len(request.body)
+        if reason := self._refusal_reason(is_full, cost, arrived_ms):
             return self._reject(stream, REFUSED, reason, request.class_name)
-        exchange = self.front.engine.accept(request, partial(self._on_answer, stream))
+        exchange = self.front.engine.accept(request, partial(self._on_answer, stream), self)
         if not exchange.is_over:
             self.open_exchanges[stream] = exchange
-            self.stream.holding.add(Kind.OPEN_REQUEST, OPEN_REQUEST_BYTES + len(request.body))
+            self.stream.holding.add(Kind.OPEN_REQUEST, cost)
 
-    def _refusal_reason(self, is_full: bool, arrived_ms: float) -> Rejection | None:
-        """Return why a valid request is refused; None if it is accepted."""
+    def _refusal_reason(self, is_full: bool, cost: int, arrived_ms: float) -> Rejection | None:
+        """Return why a valid request that costs `cost` bytes is refused; None if it is accepted."""
         if is_full:
             return Rejection.TOO_MANY_OPEN
         if self.close_code:
             return Rejection.CLOSING
+        if cost > SMALL_REQUEST_BYTES:
+            self.front.relieve_memory(cost)
+        if not self.front.account.may_hold_request(self.stream.holding, cost):
+            return Rejection.MEMORY
         return self.front.refusal_reason(arrived_ms)
 
     def _reject(self, stream: int, kind: str, reason: Rejection, class_name: str = "") -> None:
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -36,7 +36,8 @@
     ) -> None:
         """Serve at most `max_clients` at once, with at most `max_buffered_bytes` in all buffers together."""
         self.sched, self.engine, self.settings, self.max_clients = sched, engine, settings, max_clients
-        self.max_buffered_bytes = max_buffered_bytes
+        self.account = sched.account
+        self.account.limit_bytes = max_buffered_bytes
         self.clients: set[Client] = set()
         self.state = SERVING
         self.refusing = False  # new requests are refused
@@ -92,7 +93,7 @@
         """Return why a new request is refused; None if it fits the buffers and the event loop keeps up."""
         if self.refusing:
             return Rejection.DRAINING
-        if Stream.account.held_bytes >= self.max_buffered_bytes:
+        if self.account.is_full():
             return Rejection.MEMORY
         # A refusal costs a fraction of the time of an attempt, so that under overload the other requests
         # still meet their aims.
@@ -121,6 +122,14 @@
                 elif client.close_code or not client.stream.has_input():
                     client.stream.close(code)
 
+    def relieve_memory(self, size: int = 0) -> None:
+        """Drop partial requests until `size` bytes have room: stopped ones first, then the largest."""
+        now = now_ms()
+        while self.account.lacks_room(size):
+            victim = max(self.clients, key=lambda client: client.relief_order(now), default=None)
+            if victim is None or not victim.drop_partial_request():
+                return
+
     def make_room(self) -> bool:
         """Disconnect the client that has been idle longest; return False if there is none.
 
--- /dev/null
+++ b/hitchtiller/limits.py
@@ -0,0 +1,41 @@
+"""Limits that follow from the memory and the descriptors that a process may use."""
+
+SERVING_MB = 26.0  # memory of the process in service, without its buffers and copies
+EARLY_MB = 18.0  # soon after its start, as for two versions that run side by side
+# Copies of the memory tier that the platform's gateway keeps.
+TIER_SHARE, MAX_TIER_MB = 0.1, 16.0
+# Clients beyond a third of the descriptors, so that a probe is accepted when clients hold all of that third.
+EXTRA_CLIENTS = 16
+RESERVED_DESCRIPTORS = 48  # for the listener, the bus, the log and similar uses
+
+
+def memory_tier_mb(memory_mb: float) -> float:
+    """Return the size of the platform gateway's memory tier in megabytes for a memory limit."""
+    return min(MAX_TIER_MB, TIER_SHARE * memory_mb)
+
+
+def buffer_bytes(memory_mb: float, two_processes: bool) -> int:
+    """Return the bytes that connections may hold: half of the memory that the process and its copies leave.
+
+    The other half is for tables and for free pages between blocks in use. With `two_processes`, two processes
+    share the limit.
+    """
+    own_mb, minimum_mb = (2.0 * EARLY_MB, 1.0) if two_processes else (SERVING_MB, 2.0)
+    left_mb = memory_mb - own_mb - memory_tier_mb(memory_mb)
+    return int(max(minimum_mb, left_mb / (4.0 if two_processes else 2.0)) * 1e6)
+
+
+def connection_limits(limit: int, two_processes: bool, is_younger: bool) -> tuple[int, int]:
+    """Return how many clients and how many connections to servers a process may hold.
+
+    With `two_processes`, two processes share the limit, and `is_younger` says which of them this is.
+    """
+    # Below a limit of 256 both reserves shrink: idle clients may use all of their share, and the connections
+    # to servers and to the bus need theirs.
+    reserved = min(RESERVED_DESCRIPTORS, limit * 3 // 16)
+    clients = limit // 3 + min(EXTRA_CLIENTS, limit // 16)
+    if not two_processes:
+        return clients, limit - clients - reserved
+    # bounds the sum of two processes: silent clients may hold all of the older one's third
+    half_clients = clients // 2
+    return half_clients if is_younger else clients, max(1, (limit - clients - half_clients - reserved) // 2)
--- a/hitchtiller/ops/stats.py
+++ b/hitchtiller/ops/stats.py
@@ -21,7 +21,8 @@
     CLOSING = "closing"  # came on a connection that was closing
     DRAINING = "draining"
     LATE = "late"  # stayed unread too long: the loop lags
-    MEMORY = "memory"
+    MEMORY = "memory"  # no room for the request
+    UNREAD = "unread"  # no room for its answer, as its client does not read its answers
     ROUTER_REFUSED = "router_refused"
     ROUTER_FAILED = "router_failed"
     REPEAT_WINDOW = "repeat_window"  # its effect may have run, and repeats are no longer dropped
--- a/hitchtiller/sched.py
+++ b/hitchtiller/sched.py
@@ -15,6 +15,7 @@
 
 from greenlet import getcurrent, greenlet
 
+from hitchtiller.account import Account
 from hitchtiller.log import logger
 
 # A longer time between two polls means that the process was stopped: its own sweeps are more frequent.
@@ -54,6 +55,7 @@
 
     def __init__(self) -> None:
         """Create a scheduler without tasks; the calling greenlet is its loop until `run` is called."""
+        self.account = Account()  # of the memory that connections of this loop hold
         self.poll = select.poll()
         self.waiters: dict[int, dict[int, greenlet]] = {}  # by descriptor and event
         self.poll_masks: dict[int, int] = {}  # by descriptor: the events registered with poll
--- a/hitchtiller/store/light.py
+++ b/hitchtiller/store/light.py
@@ -1,13 +1,14 @@
 """The memory tier alone, for the platform's gateway: no disk, no threads, no operators' file.
 
 Used by `python -m hitchtiller --memory-tier`. Its imports take 1.1 MB, and its copies a tenth of the memory
-limit but at most MAX_MB, because two versions that run side by side, with their copies, have to fit into the
-limit together. Where the limit is too small for that, this module is not imported.
+limit but at most 16 MB (limits.py), because two versions that run side by side, with their copies, have to
+fit into the limit together. Where the limit is too small for that, this module is not imported.
 """
 
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from hitchtiller.limits import memory_tier_mb
 from hitchtiller.log import logger
 from hitchtiller.store.memory import Memory
 from hitchtiller.store.pace import Pace
@@ -17,13 +18,6 @@
 if TYPE_CHECKING:
     from hitchtiller.__main__ import Gateway
 
-MAX_MEMORY_SHARE, MAX_MB = 0.1, 16.0
-
-
-def memory_tier_mb(memory_mb: float) -> float:
-    """Return the size of the memory tier in megabytes for a memory limit."""
-    return min(MAX_MB, MAX_MEMORY_SHARE * memory_mb)
-
 
 def join(gateway: "Gateway") -> Callable[[], None]:
     """Add the memory tier to a gateway; suspect copies are not confirmed by a server."""
--- a/hitchtiller/stream.py
+++ b/hitchtiller/stream.py
@@ -11,10 +11,10 @@
 import termios
 from collections import deque
 
-from hitchtiller.account import Account, Holding, Kind
+from hitchtiller.account import MAX_READ_BYTES, PART_BYTES, Holding, Kind
 from hitchtiller.sched import READ, WRITE, Scheduler, now_ms
 
-RECV_BYTES = 65_536  # requested by one recv
+RECEIVE_BUFFER = bytearray(MAX_READ_BYTES)  # of all streams: emptied before another greenlet runs
 MAX_SEND_BUFFERS = 16  # passed to one sendmsg
 KERNEL_INT = struct.Struct("i")  # the result of an ioctl
 
@@ -26,11 +26,10 @@
 class Stream:
     """A non-blocking TCP socket: reads park the greenlet, writes are buffered.
 
-    The caller has to bound `unsent_bytes`. All that a stream holds is charged to `account`.
+    The caller has to bound `unsent_bytes`. All that a stream holds is charged to the scheduler's account.
     """
 
     open_count = 0  # open sockets of this process
-    account = Account()  # of this process
 
     def __init__(
         self,
@@ -43,7 +42,7 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sched, self.sock, self.fd = sched, sock, sock.fileno()
-        self.holding, self.input_kind, self.output_kind = Holding(Stream.account), input_kind, output_kind
+        self.holding, self.input_kind, self.output_kind = Holding(sched.account), input_kind, output_kind
         self.unsent: deque[memoryview] = deque()
         self.unsent_bytes = 0  # bytes in `unsent`
         self.sent_bytes = self.acknowledged_bytes = (
@@ -80,17 +79,18 @@
                 if not self.sched.wait(self.fd, READ, timeout_ms):
                     raise StreamClosed("silent")
                 continue
+            size = self.sched.account.read_bytes()
             try:
-                data = self.sock.recv(RECV_BYTES)
+                received = self.sock.recv_into(RECEIVE_BUFFER, size)
             except BlockingIOError:
                 self.input_drained = True
                 continue
             except OSError:
                 raise StreamClosed("reset") from None
-            if not data:
+            if not received:
                 raise StreamClosed("eof")
-            self.input_drained = len(data) < RECV_BYTES
-            return data
+            self.input_drained = received < size
+            return bytes(memoryview(RECEIVE_BUFFER)[:received])
 
     def write(self, *parts: bytes | memoryview) -> None:
         """Send what the socket accepts and buffer the rest; the caller has to bound `unsent_bytes`."""
@@ -102,29 +102,33 @@
             if len(part):
                 self.unsent.append(memoryview(part))
                 self.unsent_bytes += len(part)
-                self.holding.add(self.output_kind, len(part))
         if not self.is_flushing:
             self._send_unsent()
             if self.unsent and not self.close_code:
                 self.is_flushing = True
                 self.sched.spawn(self._flush)
+        self._charge_unsent()
+
+    def _charge_unsent(self) -> None:
+        self.holding.set(self.output_kind, self.unsent_bytes + PART_BYTES * len(self.unsent))
 
     def write_whole(self, data: bytes) -> bool:
         """Send all of `data`, parking while the socket accepts no more; False if it was closed first."""
         self.is_flushing = True
         self.write(data)
         self._send_unsent()
+        self._charge_unsent()
         self._flush()
         return not self.close_code
 
-    def set_reader_bytes(self, size: int) -> None:
-        """Set how many bytes of incomplete input its reader holds."""
+    def charge_reader(self, buffer: bytearray) -> None:
+        """Charge the buffer in which its reader keeps incomplete input."""
         if not self.close_code:
-            self.holding.set(self.input_kind, size)
+            self.holding.set_buffer(self.input_kind, buffer)
 
     @property
     def reader_bytes(self) -> int:
-        """Return how many bytes of incomplete input its reader holds."""
+        """Return what the incomplete input that its reader keeps is charged as."""
         return self.holding.get(self.input_kind)
 
     def has_input(self) -> bool:
@@ -171,8 +175,8 @@
     def discard_unsent(self) -> None:
         """Drop all unsent data; nothing meaningful can be written on the stream after that."""
         self.unsent.clear()
-        self.holding.add(self.output_kind, -self.unsent_bytes)
         self.unsent_bytes = 0
+        self._charge_unsent()
 
     def _send_unsent(self) -> None:
         while self.unsent:
@@ -190,7 +194,6 @@
                 return
             self.unsent_bytes -= sent
             self.sent_bytes += sent
-            self.holding.add(self.output_kind, -sent)
             self.last_progress_ms = now_ms()
             while sent:
                 head = self.unsent[0]
@@ -205,6 +208,7 @@
             self.sched.wait(self.fd, WRITE)
             if not self.close_code:
                 self._send_unsent()
+                self._charge_unsent()
         self.is_flushing = False
         if self.shutdown_requested:
             self.finish()
@@ -220,7 +224,7 @@
         """Close the socket once; the first reason code is kept, and a parked reader is woken with it."""
         if self.close_code:
             return
-        self.set_reader_bytes(0)
+        self.holding.set(self.input_kind, 0)
         self.close_code = code
         self.discard_unsent()
         self.sched.unregister(self.fd)
--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -58,6 +58,7 @@
     wrong: list[str] = field(default_factory=list)
     hostile: dict[str, int] = field(default_factory=dict)
     rejected: dict[str, int] = field(default_factory=dict)
+    closed: dict[str, int] = field(default_factory=dict)  # connections of clients, by reason code
 
     def faults(self, memory_mb: float) -> list[str]:
         """Return what no crowd may cause."""
@@ -165,6 +166,7 @@
             figures = await rig.figures()
             result.held_bytes = figures.get("memory.held", 0)
             result.rejected = {name: n for name, n in figures.items() if n and name.startswith("rejected.")}
+            result.closed = {name: n for name, n in figures.items() if name.startswith("closed.client.")}
     finally:
         await rig.kill()
         shutil.rmtree(rig.folder, ignore_errors=True)
--- a/tests/store/test_store_live.py
+++ b/tests/store/test_store_live.py
@@ -12,9 +12,9 @@
 
 from hitchtiller.cli.main import main
 from hitchtiller.front.leave import ACCEPT_GRACE_MS
+from hitchtiller.limits import memory_tier_mb
 from hitchtiller.store import recover
 from hitchtiller.store.files import OsFiles
-from hitchtiller.store.light import memory_tier_mb
 from standins import kills
 from standins.parties import HEARTBEAT_MS
 from standins.rig import MAX_PURGE_LAG_MS, REPLAY_MS, ROOT, Rig
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -16,6 +16,31 @@
         got = [frame for n in range(len(data)) for frame in reader.feed(data[n : n + 1])]
         self.assertEqual([(f.kind, f.stream, f.payload) for f in got], [(7, 1, payload)] * 2)
 
+    def test_a_payload_over_the_limit_is_dropped_and_its_frame_is_yielded(self) -> None:
+        long, short = frames.head(7, 1, 5000) + bytes(5000), frames.head(9, 2, 0)
+        data = short + long + long + short
+        for step in (1, 8, 9, 10, 4999, len(data)):
+            reader = frames.FrameReader(4999)
+            got = []
+            for start in range(0, len(data), step):
+                got += list(reader.feed(data[start : start + step]))
+                self.assertLess(len(reader.buffer), frames.HEAD.size + 1)
+            self.assertEqual(
+                [(f.kind, f.stream, f.payload) for f in got], [(9, 2, b""), *[(7, 1, b"")] * 2, (9, 2, b"")]
+            )
+            self.assertEqual([f.dropped for f in got], [None, *[frames.Dropped.TOO_LONG] * 2, None])
+            self.assertFalse(reader.in_frame)
+
+    def test_a_partial_payload_that_is_dropped_does_not_shift_the_frames_behind_it(self) -> None:
+        data = frames.head(7, 1, 5000) + bytes(5000) + frames.head(9, 2, 0)
+        for cut in range(frames.HEAD.size, 5008, 101):
+            reader = frames.FrameReader()
+            self.assertEqual(list(reader.feed(data[:cut])), [])
+            reader.drop_partial()
+            self.assertEqual((len(reader.buffer), reader.arrived_bytes), (0, cut))
+            got = list(reader.feed(data[cut:]))
+            self.assertEqual([(f.stream, f.dropped) for f in got], [(1, frames.Dropped.NO_ROOM), (2, None)])
+
     def test_lengths_out_of_bounds_are_rejected(self) -> None:
         for length in (0, 4, frames.MAX_LENGTH + 1):
             with self.assertRaises(frames.FrameError):
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -15,12 +15,13 @@
 from test_sockets import Scenario
 
 from hitchtiller import interface as api
-from hitchtiller.__main__ import buffer_bytes, connection_limits, shared_folder
+from hitchtiller.__main__ import shared_folder
 from hitchtiller.codec import frames
 from hitchtiller.decide import Router
 from hitchtiller.engine import Engine
 from hitchtiller.exchange import Attempt, ClientRequest
 from hitchtiller.front.server import Front
+from hitchtiller.limits import buffer_bytes, connection_limits
 from hitchtiller.news import ListedServer, Topology
 from hitchtiller.ops.control import MAX_CALL_BYTES, MAX_CALLERS, CallError
 from hitchtiller.ops.holdouts import FILE_NAME, HoldOuts
