Give memory that was freed back to the system

Cause: glibc maps a block on its own only from a size that grows with each such block that is freed, up to 32 MB. After the first large body all others came from the heap, where one small block in use keeps everything below it.

Change: the size is fixed at 32 KB (mallopt) and free pages of the heap are given back once a minute, and each second while connections hold over 2 MB (malloc_trim). Both are left out where the C library does not have them. Loading ctypes costs 0.4 MB.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -10,7 +10,7 @@
 from itertools import count
 from pathlib import Path
 
-from hitchtiller import log
+from hitchtiller import heap, log
 from hitchtiller.account import Account, Kind
 from hitchtiller.back.upstreams import Upstreams
 from hitchtiller.bus import BusLink
@@ -37,6 +37,7 @@
 MEMORY_TIER_OPTION, MIN_TIER_MEMORY_MB = "--memory-tier", 64.0
 COUNTS_INTERVAL_MS, FIGURES_INTERVAL_MS = 10_000.0, 5_000.0
 GC_INTERVAL_MS = 1_000.0
+TRIM_HELD_BYTES = 2_000_000  # held by connections: as much may be free in the heap a second later
 
 
 def log_counts(sched: Scheduler, engine: Engine, front: Front, memory_mb: float) -> None:
@@ -98,11 +99,18 @@
 
 
 def collect_garbage(sched: Scheduler) -> None:
-    """Collect the few reference cycles that exceptions leave: young ones each second, all once a minute."""
+    """Collect the few reference cycles that exceptions leave: young ones each second, all once a minute.
+
+    The free pages of the heap go back to the system as often, or each second after connections held much.
+    """
     gc.freeze()
     gc.disable()  # full collections stalled the loop by 0.2 s under load; requests leave no cycles
+    held_bytes = 0
     for round_number in count(1):
         sched.sleep(GC_INTERVAL_MS)
+        held_before, held_bytes = held_bytes, sched.account.held_bytes
+        if round_number % 60 == 0 or max(held_before, held_bytes) > TRIM_HELD_BYTES:
+            heap.trim()
         # Prevents memory growth: with young collections only, objects that survived one were never freed.
         gc.collect(2 if round_number % 60 == 0 else 1 if round_number % 10 == 0 else 0)
 
@@ -125,6 +133,7 @@
 
     `extend` adds optional parts to it and returns a callable that is called at the end.
     """
+    heap.set_up()
     sched = Scheduler()
     clients, links = connection_limits(config.sockets, two_processes=False, is_younger=False)
     times = (config.connect_ms, config.idle_ms)
