Make room for new clients with connections whose clients have gone, before idle ones

Cause: the end of a connection was seen only behind all of its input. Connections that were long closed by their clients counted against the limit of clients, and as they had unread input they were not idle; the idle connection of a well-behaved client was closed.

Change: the state of the connection (TCP_INFO) tells that the other side has closed it, also behind unread input; such connections make room first. After a long turn the same question keeps requests of a client that has left from being started.

--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -134,11 +134,7 @@
             self.arrived_ms = self.front.sched.earliest_arrival_ms
         # After a long turn the end of the stream may already follow the requests in the socket buffer:
         # requests of a client that has disconnected are not started.
-        if (
-            now_ms() - self.arrived_ms > LAG_LIMIT_MS
-            and self.stream.input_drained
-            and self.stream.is_at_end()
-        ):
+        if now_ms() - self.arrived_ms > LAG_LIMIT_MS and self.stream.peer_has_closed():
             raise StreamClosed("eof")
         return data
 
@@ -295,6 +291,12 @@
             and self.front.account.may_hold_answer(self.stream.holding, 0)
         )
 
+    def has_left(self) -> bool:
+        """Return whether the client has closed its connection, which then ends as if that had been read."""
+        if not self.stream.close_code and self.stream.peer_has_closed():
+            self.stream.close("eof")
+        return bool(self.stream.close_code)
+
     def has_room(self, size: int) -> bool:
         """Return whether an answer with a body of `size` bytes can be written or held for the client."""
         if not self.stream.undelivered_bytes():  # the kernel takes it, or most of it
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -133,10 +133,14 @@
     def make_room(self) -> bool:
         """Disconnect the client that has been idle longest; return False if there is none.
 
-        Clients that have sent no whole frame go first. A client that is closing and has had its last answer
-        is chosen only if no other is idle: closing over its unread input may reset the connection and
-        discard that answer.
+        Clients that have closed their connection themselves make room before all others. Of the rest, those
+        that have sent no whole frame go first. A client that is closing and has had its last answer is chosen
+        only if no other is idle: closing over its unread input may reset the connection and discard that
+        answer.
         """
+        if gone := next((client for client in self.clients if client.has_left()), None):
+            self.clients.discard(gone)
+            return True
         by_priority = sorted(
             self.clients, key=lambda client: (client.has_sent_frame, client.last_activity_ms)
         )
--- a/hitchtiller/stream.py
+++ b/hitchtiller/stream.py
@@ -16,6 +16,8 @@
 
 RECEIVE_BUFFER = bytearray(MAX_READ_BYTES)  # of all streams: emptied before another greenlet runs
 MAX_SEND_BUFFERS = 16  # passed to one sendmsg
+# Connection states in which the other side sends nothing more: CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING.
+CLOSED_STATES = frozenset((7, 8, 9, 11))
 KERNEL_INT = struct.Struct("i")  # the result of an ioctl
 
 
@@ -146,6 +148,18 @@
         except OSError as error:
             return not isinstance(error, BlockingIOError)
 
+    def peer_has_closed(self) -> bool:
+        """Return whether the other side has closed or reset the connection, also behind unread input.
+
+        Where the system does not tell (TCP_INFO, see tcp(7)), the answer is no.
+        """
+        if self.close_code:
+            return True
+        try:
+            return self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in CLOSED_STATES
+        except (OSError, IndexError):
+            return False
+
     def undelivered_bytes(self) -> int:
         """Return how many written bytes the other side's kernel has not acknowledged.
 
--- a/tests/ends/test_ends_descriptors.py
+++ b/tests/ends/test_ends_descriptors.py
@@ -204,3 +204,15 @@
         self.assertEqual((lingering.stream.close_code, idle.stream.close_code), ("", "full"))
         self.assertTrue(self.front.make_room(), "without an idle client the lingering one is closed")
         self.assertEqual(lingering.stream.close_code, "full")
+
+    def test_a_client_that_has_left_makes_room_before_an_idle_one(self) -> None:
+        """Idle clients were closed for connections whose clients had long gone, and lost requests."""
+        left, other = self.add_client()
+        left.open_exchanges[1] = mock.Mock(spec=Exchange)
+        other.sendall(bytes(100_000))
+        other.close()
+        idle, _ = self.add_client()
+        idle.last_activity_ms -= 10_000.0
+        self.assertTrue(run_until(self.sched, left.stream.peer_has_closed))
+        self.assertTrue(self.front.make_room())
+        self.assertEqual((left.stream.close_code, idle.stream.close_code), ("eof", ""))
