Check before each attempt's first byte that its client has not closed

Cause: the end of a connection is read behind its input, 64 KB a turn.

Evidence: the test in tests/test_engine.py fails without the check.

--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -341,6 +341,9 @@
         now, request = self.clock.now_ms(), attempt.exchange.request
         if attempt.ended or attempt.exchange.is_over or self.may_lack_events():
             return None
+        requester = attempt.exchange.requester
+        if requester and requester.has_left():
+            return None
         try:
             node = self.router.nodes.get(attempt.get.server)  # None if it was delisted in the meantime
             if not node or not self.effects.may_begin(request.class_name, request.dedupe, node.member, now):
--- a/hitchtiller/exchange.py
+++ b/hitchtiller/exchange.py
@@ -115,6 +115,9 @@
 class Requester(Protocol):
     """The client that a request came from, as far as the engine has to know it."""
 
+    def has_left(self) -> bool:
+        """Return whether the client has closed its connection, also if that was not read yet."""
+
     def has_room(self, size: int) -> bool:
         """Return whether an answer with a body of `size` bytes can be written or held for the client."""
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -3,6 +3,7 @@
 import unittest
 from collections.abc import Callable
 from typing import Any
+from unittest.mock import Mock
 
 from conftest import BASE, FLEET
 
@@ -101,6 +102,15 @@
         attempt.end(AttemptResult("done"))
         self.assertEqual((self.kinds(), self.back.cancelled), ([], [attempt]))
 
+    def test_a_request_whose_client_has_closed_is_not_sent_although_that_is_unread(self) -> None:
+        """A client closed behind much unread input: its requests were sent on for seconds."""
+        requester = Mock(has_left=lambda: False, has_room=lambda size: True)
+        request = ClientRequest("0" * 16, "small", "0" * 16, 42, self.clock.now + 900.0, size_kb=50.0)
+        self.engine.accept(request, self.answers.append, requester)
+        self.assertIsNotNone(self.engine.authorize(self.back.sent[-1]))
+        requester.has_left = lambda: True
+        self.assertIsNone(self.engine.authorize(self.back.sent[-1]))
+
     def test_a_refused_connection_raises_the_failure_score(self) -> None:
         """When it was reported as never sent, unreachable machines were chosen again and again."""
         attempt = self.start_request()
