--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -29,6 +29,7 @@
 from hitchtiller.news import Event, PurgeNotice, Topology
 from hitchtiller.ops.stats import Rejection, Stats
 from hitchtiller.routing.effects import Effects
+from hitchtiller.routing.request_ids import RequestIds
 
 
 class Timer(Protocol):
@@ -112,6 +113,7 @@
         self.is_dispatching = False
         self.copies: Copies | None = None
         self.effects = Effects(router.settings.classes)
+        self.request_ids = RequestIds(router.settings.classes)
         self.may_lack_events: Callable[[], bool] = bool  # whether bus events may have been missed
         self.purge_listeners: list[Callable[[PurgeNotice], object]] = []
         self.on_final_answer: Callable[[Exchange, Answer], None] | None = None  # called for each final answer
@@ -147,7 +149,9 @@
         exchange.accepted_ms = self.clock.now_ms()
         delay_ms = request.deadline_ms - exchange.accepted_ms
         exchange.cancel_deadline = self.clock.later(delay_ms, partial(self.on_deadline, exchange)).cancel
-        if self.effects.window_passed(request.class_name, request.dedupe, exchange.accepted_ms):
+        if self.request_ids.may_have_run(request.id):
+            self.fail(exchange, Rejection.REUSED)
+        elif self.effects.window_passed(request.class_name, request.dedupe, exchange.accepted_ms):
             # an earlier attempt may have run, and servers no longer drop its repeat
             self.fail(exchange, Rejection.REPEAT_WINDOW)
         elif self.copies is None or not self.copies.try_serve(exchange):
@@ -357,6 +361,7 @@
         if cap is None:
             return None
         self.effects.begin(request.class_name, request.dedupe, node.member, now)
+        self.request_ids.begin(request.class_name, request.id)
         return SendLimits(cap, request.deadline_ms - now)
 
     def on_attempt_written(self) -> None:
@@ -375,6 +380,7 @@
         self.stats.record_attempt_result(result.status)
         if attempt.written and result.status in NEVER_RAN:
             self.effects.never_ran(exchange.request.class_name, exchange.request.dedupe)
+            self.request_ids.never_ran(exchange.request.id)
         if result.status == "done" and self.copies:
             result = self.copies.on_result(attempt, result)
         if result.status == "done" and not exchange.is_over:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -111,6 +111,27 @@
         requester.has_left = lambda: True
         self.assertIsNone(self.engine.authorize(self.back.sent[-1]))
 
+    def test_an_id_that_comes_again_after_its_client_left_does_not_run_a_second_time(self) -> None:
+        """The second client's request was sent, and the effect took place twice."""
+        request = ClientRequest("a" * 16, "once", "0" * 16, 42, self.clock.now + 900.0, write=True)
+        first = self.engine.accept(request, self.answers.append)
+        self.assertIsNotNone(self.engine.authorize(self.back.sent[-1]))
+        self.back.sent[-1].written = True
+        self.engine.client_left(first)
+        self.engine.accept(request, self.answers.append)
+        self.assertEqual((self.kinds(), len(self.back.sent)), ([FAILED], 1))
+
+    def test_an_id_whose_only_attempt_did_not_run_may_come_again(self) -> None:
+        request = ClientRequest("a" * 16, "once", "0" * 16, 42, self.clock.now + 900.0, write=True)
+        first = self.engine.accept(request, self.answers.append)
+        self.assertIsNotNone(self.engine.authorize(self.back.sent[-1]))
+        self.back.sent[-1].written = True
+        self.back.sent[-1].end(AttemptResult("busy"))
+        self.engine.client_left(first)
+        sent = len(self.back.sent)
+        self.engine.accept(request, self.answers.append)
+        self.assertEqual(len(self.back.sent), sent + 1)
+
     def test_a_refused_connection_raises_the_failure_score(self) -> None:
         """When it was reported as never sent, unreachable machines were chosen again and again."""
         attempt = self.start_request()
