Bound the names of killed, abandoned and answered jobs by number too

A client that asks and gives up at full speed made these tables grow with its rate: they were bounded by time only (6 s), in three copies of the same code.

--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -12,13 +12,13 @@
 
 from hitchtiller.account import Kind
 from hitchtiller.back.jobs import Job
+from hitchtiller.back.recent_names import RecentNames
 from hitchtiller.codec import resp
 from hitchtiller.log import log_connection_end
 from hitchtiller.sched import Scheduler, now_ms
 from hitchtiller.stream import Stream, StreamClosed
 
 IDLE_SHARE = 0.7  # of the servers' idle timeout; closing before the server avoids a race with a send
-LATE_ANSWER_MS = 6_000.0  # after this time no answer to a killed request arrives any more
 SERVER_CLOSE_CODES = ("eof", "reset")  # closes that the server initiated
 # Time without a byte while an answer is overdue: first the link gets no new jobs, then it is closed.
 SUSPECT_AFTER_MS, STUCK_AFTER_MS = 200.0, 400.0
@@ -52,9 +52,8 @@
         self.queued_names: set[bytes] = set()  # names of the jobs in `queue`
         self.open_jobs: dict[bytes, Job] = {}
         # Times by name. An answer to a killed job, or a second answer to an effect, may still be on its way.
-        self.killed_jobs: dict[bytes, float] = {}
+        self.killed_jobs, self.answered_effects = RecentNames(), RecentNames()
         self.abandoned_jobs: dict[bytes, float] = {}  # open when this gateway closed the connection
-        self.answered_effects: dict[bytes, float] = {}
         self.reader = resp.RespReader()
         # When a partial answer last grew by MIN_GROWTH_BYTES, and its growth since then.
         self.last_growth_ms, self.growth_bytes = now_ms(), 0
@@ -102,7 +101,7 @@
             self.queued_names.discard(name)
         elif self.open_jobs.get(name) is job:
             del self.open_jobs[name]
-            self._remember(self.killed_jobs, name)
+            self.killed_jobs.remember(name, now_ms())
             job.block_until(now_ms() + (self.connect_ms if self.stream.unsent_bytes else self.round_trip_ms))
             if self.writing and self.writing[0] is job:
                 # Half of its command was sent, so neither a KILL nor another command can follow.
@@ -118,12 +117,6 @@
             return False
         return True
 
-    def _remember(self, times: dict[bytes, float], name: bytes) -> None:
-        """Record a name whose answer may still be on its way, and drop expired names to bound the memory."""
-        times[name] = now = now_ms()
-        while now - times[oldest := next(iter(times))] > LATE_ANSWER_MS:
-            del times[oldest]
-
     def close(self, code: str) -> None:
         """Close the connection with a reason code."""
         self.stream.close(code)
@@ -194,7 +187,7 @@
             return
         self.answered_count += 1
         if not job.repeatable:
-            self._remember(self.answered_effects, job.name)
+            self.answered_effects.remember(job.name, now_ms())
         if self.queue:
             self._wake()  # the writer may be waiting for room
         try:
--- a/hitchtiller/back/upstreams.py
+++ b/hitchtiller/back/upstreams.py
@@ -5,13 +5,13 @@
 connections is bounded per server and in total.
 """
 
-import math
 from collections.abc import Callable
 from functools import partial
 from itertools import count
 
 from hitchtiller.back.jobs import Job, MeterJob, PullJob
-from hitchtiller.back.link import LATE_ANSWER_MS, Link
+from hitchtiller.back.link import Link
+from hitchtiller.back.recent_names import RecentNames
 from hitchtiller.exchange import Attempt
 from hitchtiller.log import log_connection_end
 from hitchtiller.news import ListedServer, Topology
@@ -33,8 +33,7 @@
         self.links: list[Link] = []
         # Times by name of the jobs that were given up on connections that have closed since. Those on
         # connections closed for malformed data are kept apart.
-        self.abandoned_jobs: dict[bytes, float] = {}
-        self.abandoned_after_junk: dict[bytes, float] = {}
+        self.abandoned_jobs, self.abandoned_after_junk = RecentNames(), RecentNames()
         self.closed = False
 
     def submit(self, job: Job) -> None:
@@ -45,16 +44,14 @@
         # A server that sent malformed data still reads: a connection opened now is established only after
         # the close has arrived.
         name, link, busy_link, now = job.name, None, None, now_ms()
-        kill_links = [
-            each for each in self.links if now - each.killed_jobs.get(name, -math.inf) < LATE_ANSWER_MS
-        ]
-        if now - self.abandoned_jobs.get(name, -math.inf) < LATE_ANSWER_MS or len(kill_links) > 1:
+        kill_links = [each for each in self.links if each.killed_jobs.holds(name, now)]
+        if self.abandoned_jobs.holds(name, now) or len(kill_links) > 1:
             return job.on_connection_end("skipped")
         if kill_links:
             return (
                 kill_links[0].submit(job) if kill_links[0].accepts(name) else job.on_connection_end("skipped")
             )
-        new_only = now - self.abandoned_after_junk.get(name, -math.inf) < self.upstreams.timeouts[0]
+        new_only = self.abandoned_after_junk.holds(name, now, self.upstreams.timeouts[0])
         for each in () if new_only else self.links:
             if (
                 link is None
@@ -94,14 +91,10 @@
         if link.stream.close_code and link in self.links:
             self.links.remove(link)
             self.upstreams.link_count -= 1
-            now, abandoned = now_ms(), link.abandoned_jobs
-            for remembered in (self.abandoned_jobs, self.abandoned_after_junk):
-                for name in [name for name, at in remembered.items() if now - at >= LATE_ANSWER_MS]:
-                    del remembered[name]
-            self.abandoned_jobs |= link.killed_jobs
-            (self.abandoned_after_junk if link.stream.close_code == "junk" else self.abandoned_jobs).update(
-                abandoned
-            )
+            now, after_junk = now_ms(), link.stream.close_code == "junk"
+            self.abandoned_jobs.remember_all(link.killed_jobs, now)
+            abandoned = self.abandoned_after_junk if after_junk else self.abandoned_jobs
+            abandoned.remember_all(link.abandoned_jobs, now)
         for job in unwritten:
             job.reassignments += 1
             # Without a bound, a server that resets every connection would keep the loop busy.
--- a/tests/ends/test_ends_links.py
+++ b/tests/ends/test_ends_links.py
@@ -10,6 +10,7 @@
 from hitchtiller import interface as api
 from hitchtiller.back import link as link_module
 from hitchtiller.back.link import Link
+from hitchtiller.back.recent_names import LATE_ANSWER_MS
 from hitchtiller.back.upstreams import Pool, Upstreams
 from hitchtiller.codec import resp
 from hitchtiller.exchange import Attempt, ClientRequest, Exchange, SendLimits
@@ -65,7 +66,7 @@
         self.pool.submit(repeat)
         self.assertEqual(repeat.statuses, ["skipped"], "which means that it never ran")
         self.assertEqual(len(self.pool.links), 2, "no new connection: a hanging server may read it first")
-        link.killed_jobs[b"a"] = now_ms() - link_module.LATE_ANSWER_MS - 1.0  # expired
+        link.killed_jobs[b"a"] = now_ms() - LATE_ANSWER_MS - 1.0  # expired
         later = Job(b"a")
         self.pool.submit(later)
         self.wait_until(lambda: spare.open_jobs.get(b"a") is later)
