Repeat a scoped effect only at the process that the list names

Cause: a server was its name and address. After a reset the same server is asked again, and the new connection was taken to lead to the same process.

Change: after a server has closed or refused a connection, those made within the next 7 s, in which the list tells of it, are uncertain. A key that is not known everywhere is not repeated on them, and not at all if it began on one. Keys that all servers know are repeated as before.

--- a/hitchtiller/back/jobs.py
+++ b/hitchtiller/back/jobs.py
@@ -50,6 +50,7 @@
     name: bytes
     due_ms: float  # when its answer becomes overdue; infinite until it is written
     reassignments: int  # how often it was moved to another connection before it was written
+    process_is_certain: bool  # set before `command`: the connection leads to the listed process
     repeatable: bool  # a late second answer may safely be matched to the next job of this name
 
     def command(self) -> bytes | None:
@@ -74,13 +75,14 @@
     def __init__(self, attempt: Attempt) -> None:
         """Wrap an attempt."""
         self.attempt = attempt
-        self.due_ms, self.reassignments = math.inf, 0
+        self.due_ms, self.reassignments, self.process_is_certain = math.inf, 0, True
         self.name = attempt.exchange.request.id.encode()
         self.repeatable = attempt.exchange.request.repeatable
 
     def command(self) -> bytes | None:
         """Return the PULL with the values known only now: the remaining time and the oldest accepted copy."""
         attempt = self.attempt
+        attempt.process_is_certain = self.process_is_certain
         limits = attempt.authorize(attempt)
         if limits is None:
             attempt.abort("skipped")
@@ -152,6 +154,7 @@
         """Call `on_report` once with a status and the server's load report."""
         self.name = b"m%x" % number
         self.due_ms, self.reassignments, self.repeatable = math.inf, 0, True
+        self.process_is_certain = True
         self.on_report = on_report
 
     def command(self) -> bytes:
--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -64,6 +64,8 @@
         self.parked_writer: greenlet | None = None  # the writer while it has nothing to write
         self.is_retired = False  # nothing more is written; closes once the open jobs are answered
         self.is_connected = False
+        # Until then another process than the listed one may have taken the connection.
+        self.uncertain_until_ms = 0.0
         # Once connected: the time that connecting took, at least MIN_ROUND_TRIP_SHARE of the timeout.
         self.round_trip_ms = self.connect_ms
         self.answered_count = 0
@@ -233,6 +235,7 @@
     def _start_job(self, job: Job) -> bytes | None:
         """Return a job's command and expect its answer from now on; None if the job withdrew."""
         self.queued_names.discard(job.name)
+        job.process_is_certain = now_ms() >= self.uncertain_until_ms
         data = job.command()
         if data is not None:
             self.open_jobs[job.name] = job
--- a/hitchtiller/back/upstreams.py
+++ b/hitchtiller/back/upstreams.py
@@ -5,12 +5,13 @@
 connections is bounded per server and in total.
 """
 
+import math
 from collections.abc import Callable
 from functools import partial
 from itertools import count
 
 from hitchtiller.back.jobs import Job, MeterJob, PullJob
-from hitchtiller.back.link import Link
+from hitchtiller.back.link import SERVER_CLOSE_CODES, Link
 from hitchtiller.back.recent_names import RecentNames
 from hitchtiller.exchange import Attempt
 from hitchtiller.log import log_connection_end
@@ -21,6 +22,8 @@
 # Jobs on one connection from which another one is opened, and how many connections that may lead to.
 SPREAD_JOBS, MAX_LINKS_PER_SERVER = 3, 6
 SWEEP_INTERVAL_MS = 100.0
+TOLD_MS = 7_000.0  # after this time the list has told of a process that has gone (PROTOCOL, figures)
+LOST_PROCESS_CODES = (*SERVER_CLOSE_CODES, "refused")
 MIN_RELIEF_BYTES = 16_384  # of a partial answer: closing a connection for less frees too little
 
 
@@ -34,6 +37,8 @@
         # Times by name of the jobs that were given up on connections that have closed since. Those on
         # connections closed for malformed data are kept apart.
         self.abandoned_jobs, self.abandoned_after_junk = RecentNames(), RecentNames()
+        # When a server's close or a refusal last showed that its process may have gone.
+        self.lost_ms = -math.inf
         self.closed = False
 
     def submit(self, job: Job) -> None:
@@ -95,6 +100,8 @@
             self.abandoned_jobs.remember_all(link.killed_jobs, now)
             abandoned = self.abandoned_after_junk if after_junk else self.abandoned_jobs
             abandoned.remember_all(link.abandoned_jobs, now)
+            if link.stream.close_code in LOST_PROCESS_CODES:
+                self._record_loss(now)
         for job in unwritten:
             job.reassignments += 1
             # Without a bound, a server that resets every connection would keep the loop busy.
@@ -103,6 +110,13 @@
             else:
                 self.submit(job)
 
+    def _record_loss(self, now: float) -> None:
+        """Record that the process may have gone: connections made from now on may lead to another one."""
+        self.lost_ms = now
+        for link in self.links:
+            if not link.is_connected:
+                link.uncertain_until_ms = now + TOLD_MS
+
     def close(self, code: str) -> None:
         """Close all connections and thereby end the attempts on them."""
         self.closed = True
@@ -158,6 +172,7 @@
         except OSError as error:
             log_connection_end("server", listed.member.server, "no-descriptor", error.strerror or "")
             return None
+        link.uncertain_until_ms = pool.lost_ms + TOLD_MS
         pool.links.append(link)
         self.link_count += 1
         self.opened_count += 1
--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -350,7 +350,9 @@
             return None
         try:
             node = self.router.nodes.get(attempt.get.server)  # None if it was delisted in the meantime
-            if not node or not self.effects.may_begin(request.class_name, request.dedupe, node.member, now):
+            if not node or not self.effects.may_begin(
+                request.class_name, request.dedupe, node.member, now, attempt.process_is_certain
+            ):
                 return None
             cap = self.router.recheck_send(attempt.get.id, attempt.index, now)
         except Exception:  # noqa: BLE001  it would end the other attempts of the connection
@@ -360,7 +362,7 @@
             cap = self.copies.limit_age(attempt.exchange, cap, now)
         if cap is None:
             return None
-        self.effects.begin(request.class_name, request.dedupe, node.member, now)
+        self.effects.begin(request.class_name, request.dedupe, node.member, now, attempt.process_is_certain)
         self.request_ids.begin(request.class_name, request.id)
         return SendLimits(cap, request.deadline_ms - now)
 
--- a/hitchtiller/exchange.py
+++ b/hitchtiller/exchange.py
@@ -74,7 +74,7 @@
 
     __slots__ = (
         "authorize", "ended", "exchange", "get", "on_end", "on_sent", "back_end_handle", "sent_ms", "index",
-        "cancel_timer", "written",
+        "cancel_timer", "written", "process_is_certain",
     )  # fmt: skip
 
     def __init__(
@@ -92,6 +92,7 @@
         self.authorize, self.on_end, self.on_sent = authorize, on_end, on_sent
         self.cancel_timer: Callable[[], None] | None = None  # cancels the timer of its timeout
         self.back_end_handle: Any = None  # set and read by the server side only
+        self.process_is_certain = True  # its connection leads to the process that the list names
         self.written = False  # its first byte was sent, so the server may have executed it
         self.ended = False
         exchange.attempts.append(self)
--- a/hitchtiller/routing/effects.py
+++ b/hitchtiller/routing/effects.py
@@ -5,6 +5,10 @@
 therefore counts from that attempt, whichever request it was made for, and is checked at the first byte of
 each further attempt. Proof that an attempt never ran removes that attempt; with none left, the key is new.
 
+A key that is not known everywhere is repeated only on connections that lead for certain to the process that
+the list names: after a server's process has gone another one, of another scope, may have its address before
+the list tells. An effect that began on an uncertain connection is not repeated at all.
+
 Bounds. MAX_KEYS keys, of which the oldest are removed first. A key is forgotten once its window has passed
 and all retries that its client can make within RETRY_DEADLINES deadlines have ended. A process knows only its
 own attempts: one that has just started knows none.
@@ -31,6 +35,7 @@
     zone: str
     cell: int
     attempts: int = 0
+    scope_is_certain: bool = True  # all of them went to the processes that the list named
 
 
 class Location(Protocol):
@@ -64,16 +69,24 @@
         self.classes = {name: cls for name, cls in classes.items() if cls.effect == "by_key"}
         self.unconfirmed: dict[tuple[str, str], UnconfirmedEffect] = {}
 
-    def may_begin(self, class_name: str, key: str, member: Member, now_ms: float) -> bool:
-        """Return whether an attempt may be sent to a server now."""
+    def may_begin(
+        self, class_name: str, key: str, member: Member, now_ms: float, process_is_certain: bool = True
+    ) -> bool:
+        """Return whether an attempt may be sent to a server now.
+
+        `process_is_certain` tells whether its connection leads to the process that the list names.
+        """
         unconfirmed = self.unconfirmed.get((class_name, key))
         if unconfirmed is None:
             return True
-        return same_scope(self.classes[class_name], unconfirmed, member) and not self.window_passed(
-            class_name, key, now_ms
-        )
-
-    def begin(self, class_name: str, key: str, member: Member, now_ms: float) -> None:
+        cls = self.classes[class_name]
+        if cls.key_scope != "all" and not (process_is_certain and unconfirmed.scope_is_certain):
+            return False
+        return same_scope(cls, unconfirmed, member) and not self.window_passed(class_name, key, now_ms)
+
+    def begin(
+        self, class_name: str, key: str, member: Member, now_ms: float, process_is_certain: bool = True
+    ) -> None:
         """Record that an attempt's first byte is being sent."""
         if class_name not in self.classes or not key:
             return
@@ -84,6 +97,7 @@
                 now_ms, member.zone, member.cell
             )
         unconfirmed.attempts += 1
+        unconfirmed.scope_is_certain = unconfirmed.scope_is_certain and process_is_certain
 
     def never_ran(self, class_name: str, key: str) -> None:
         """Record proof that one of the attempts that were sent did not run."""
--- a/tests/ends/sides.py
+++ b/tests/ends/sides.py
@@ -44,7 +44,7 @@
     def __init__(self, name: bytes = b"1", repeatable: bool = True) -> None:
         self.name, self.due_ms, self.reassignments, self.repeatable = name, 1e18, 0, repeatable
         self.statuses: list[str] = []
-        self.blocked_until_ms = 0.0
+        self.blocked_until_ms, self.process_is_certain = 0.0, True
 
     def command(self) -> bytes:
         return resp.write_command(b"PULL", self.name, b"-", b"")
--- a/tests/ends/test_ends_effects.py
+++ b/tests/ends/test_ends_effects.py
@@ -34,6 +34,19 @@
         self.assertFalse(effects.may_begin("pay", "k1", HERE, last))
         self.assertTrue(effects.may_begin("pay", "k2", HERE, last), "another key is another effect")
 
+    def test_a_scoped_key_is_not_repeated_at_a_process_that_may_be_another_one(self) -> None:
+        """A process of another cell had come up at the address: the effect ran in both."""
+        effects = self.effects(ZONE_SCOPED)
+        self.assertTrue(effects.may_begin("pay", "k1", HERE, 200.0, process_is_certain=True))
+        self.assertFalse(effects.may_begin("pay", "k1", HERE, 200.0, process_is_certain=False))
+        self.assertTrue(effects.may_begin("pay", "k2", HERE, 200.0, process_is_certain=False), "a first run")
+        self.assertTrue(self.effects().may_begin("pay", "k1", HERE, 200.0, process_is_certain=False))
+
+    def test_a_scoped_key_that_began_at_an_uncertain_process_is_not_repeated(self) -> None:
+        effects = self.effects(ZONE_SCOPED)
+        effects.begin("pay", "k2", HERE, 200.0, process_is_certain=False)
+        self.assertFalse(effects.may_begin("pay", "k2", HERE, 300.0, process_is_certain=True))
+
     def test_proof_that_nothing_ran_removes_one_attempt(self) -> None:
         effects = self.effects()
         effects.begin("pay", "k1", HERE, 200.0)
--- a/tests/ends/test_ends_links.py
+++ b/tests/ends/test_ends_links.py
@@ -50,6 +50,25 @@
         return link, server
 
 
+class ReplacedProcesses(LinkCase):
+    def test_a_connection_made_after_the_server_closed_one_is_uncertain_and_an_older_one_is_not(self) -> None:
+        older, _ = self.write_job(Job(b"a"))
+        older.is_suspect = True
+        reset, server = self.write_job(Job(b"b"))
+        server.close()
+        self.wait_until(lambda: bool(reset.stream.close_code))
+        job = Job(b"c")
+        newer, _ = self.write_job(job)
+        self.assertFalse(job.process_is_certain)
+        self.assertGreater(newer.uncertain_until_ms, now_ms())
+        self.assertLess(older.uncertain_until_ms, now_ms())
+        job = Job(b"d")
+        newer.uncertain_until_ms = now_ms() - 1.0
+        newer.submit(job)
+        self.wait_until(lambda: b"d" in newer.open_jobs)
+        self.assertTrue(job.process_is_certain)
+
+
 class AbandonedRequests(LinkCase):
     def test_the_same_id_does_not_overtake_its_kill_on_another_connection(self) -> None:
         """The KILL and the next PULL were sent in the same millisecond on two connections.
