Close connections to a server once another one is listed at its address

Cause: connections belong to a name; two names at one address each had their own.

Change: a newly listed name at the address of another closes the other's connections, and what is sent to the old name meanwhile counts as a refused connection.

Evidence: the test at the level of connections fails without it; not shown with real processes.

--- a/hitchtiller/back/upstreams.py
+++ b/hitchtiller/back/upstreams.py
@@ -49,6 +49,8 @@
         # A server that sent malformed data still reads: a connection opened now is established only after
         # the close has arrived.
         name, link, busy_link, now = job.name, None, None, now_ms()
+        if self.closed:
+            return job.on_connection_end("econnrefused")  # its process is gone
         kill_links = [each for each in self.links if each.killed_jobs.holds(name, now)]
         if self.abandoned_jobs.holds(name, now) or len(kill_links) > 1:
             return job.on_connection_end("skipped")
@@ -217,11 +219,13 @@
     def follow(self, news: Topology) -> Callable[[], None]:
         """Apply a change of the list; return a function that closes the pools no longer in use.
 
-        A server process that was restarted, or has another address, gets a new pool.
+        A server process that was restarted, or has another address, gets a new pool. One whose address a
+        newly listed process has taken is gone, although the list does not say so yet.
         """
         stale: list[Pool] = []
         listed_names = {listed.member.server for listed in news.hosts}
         removed = [server for server in self.pools if news.whole and server not in listed_names]
+        pools_before = {pool.listed.address: pool for pool in self.pools.values()}
         for listed in news.hosts:
             member = listed.member
             if member.state == "DELETED":
@@ -236,6 +240,8 @@
                 continue
             if pool:
                 stale.append(pool)
+            elif listed.address in pools_before:
+                stale.append(pools_before[listed.address])
             self.pools[member.server] = Pool(self, listed)
         stale += [self.pools.pop(server) for server in removed if server in self.pools]
 
--- a/tests/ends/test_ends_links.py
+++ b/tests/ends/test_ends_links.py
@@ -68,6 +68,19 @@
         self.wait_until(lambda: b"d" in newer.open_jobs)
         self.assertTrue(job.process_is_certain)
 
+    def test_a_newly_listed_process_at_the_address_of_another_replaces_it(self) -> None:
+        """Work for the old one went to the new process, until the list told that the old one was gone."""
+        first = Job(b"a")
+        link, _ = self.write_job(first)
+        newcomer = ListedServer(Member("t", "z", "k", "SERVING"), self.pool.listed.address)
+        self.back.follow(Topology((newcomer,), False))()
+        self.wait_until(lambda: bool(first.statuses))
+        self.assertEqual((first.statuses, link.stream.close_code), (["econnreset"], "gone"))
+        second = Job(b"b")
+        self.back.pools["s"].submit(second)
+        self.assertEqual((second.statuses, self.pool.links), (["econnrefused"], []))
+        self.assertFalse(self.back.pools["t"].closed)
+
 
 class AbandonedRequests(LinkCase):
     def test_the_same_id_does_not_overtake_its_kill_on_another_connection(self) -> None:
