Tell the other process of an upgrade which effects have begun

Cause: each process knew its own attempts only, and the new version starts with none.

Evidence: three new tests with two real processes (tests/ends/test_ends_effects.py, class InUpgrades); all three fail without the exchange of files.

Change: while two processes live, each appends a line to a file of its own in the shared folder before the first byte of such an attempt, then reads the other's, so that two can't both miss each other. A new version waits with its first yes until the old one has told what it knows, 0.5 s at most, since an older build tells nothing. Refusals become failures where an attempt under the id may have run. A folder that fails is logged once and costs the exchange, not the gateway.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -24,6 +24,7 @@
 from hitchtiller.ops.control import ControlServer
 from hitchtiller.ops.holdouts import HoldOuts
 from hitchtiller.ops.process_memory import peak_bytes, resident_bytes
+from hitchtiller.ops.shared_effects import SharedEffects
 from hitchtiller.ops.sign import ProcessMarker
 from hitchtiller.ops.stats import Stats
 from hitchtiller.ops.upgrade import Upgrade
@@ -159,7 +160,11 @@
         front.max_clients, back.max_links = connection_limits(config.sockets, two_processes, is_younger)
 
     marker = ProcessMarker(folder) if folder else None
-    upgrade = Upgrade(sched, marker, front, bus.is_followed, set_limits)
+    shared_effects = (
+        SharedEffects(folder, marker.name, engine.effects, engine.request_ids) if folder and marker else None
+    )
+    engine.shared_effects = shared_effects
+    upgrade = Upgrade(sched, marker, front, bus.is_followed, set_limits, shared_effects)
     front.not_ready_reason = upgrade.unready_reason
     host, port = front.listen(config.listen, config.listen_fd)
     if config.control:
@@ -180,6 +185,8 @@
     sched.run()
     if finish:
         finish()
+    if shared_effects:
+        shared_effects.close()
     if marker:
         marker.remove()
     logger.info("stopped")
--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -28,7 +28,7 @@
 from hitchtiller.log import logger
 from hitchtiller.news import Event, PurgeNotice, Topology
 from hitchtiller.ops.stats import Rejection, Stats
-from hitchtiller.routing.effects import Effects
+from hitchtiller.routing.effects import Effects, UnconfirmedEffect
 from hitchtiller.routing.request_ids import RequestIds
 
 
@@ -94,6 +94,23 @@
         """Handle a purge; called before the router handles it."""
 
 
+class EffectSharing(Protocol):
+    """Tells the other process of an upgrade which effects may have run, and learns the same of it."""
+
+    @property
+    def is_active(self) -> bool:
+        """Return whether another process lives."""
+
+    def publish_id(self, id: str) -> None:
+        """Tell that an attempt under an id is about to begin."""
+
+    def publish_key(self, class_name: str, key: str, effect: UnconfirmedEffect) -> None:
+        """Tell that an attempt of a keyed effect is about to begin."""
+
+    def read_others(self) -> None:
+        """Learn what the other process has told since the last call."""
+
+
 class Engine:
     """Feeds the events of one gateway to `Router.handle` in order and executes the resulting actions."""
 
@@ -114,6 +131,7 @@
         self.copies: Copies | None = None
         self.effects = Effects(router.settings.classes)
         self.request_ids = RequestIds(router.settings.classes)
+        self.shared_effects: EffectSharing | None = None  # with the other process of an upgrade
         self.may_lack_events: Callable[[], bool] = bool  # whether bus events may have been missed
         self.purge_listeners: list[Callable[[PurgeNotice], object]] = []
         self.on_final_answer: Callable[[Exchange, Answer], None] | None = None  # called for each final answer
@@ -149,6 +167,8 @@
         exchange.accepted_ms = self.clock.now_ms()
         delay_ms = request.deadline_ms - exchange.accepted_ms
         exchange.cancel_deadline = self.clock.later(delay_ms, partial(self.on_deadline, exchange)).cancel
+        if self.shared_effects and not request.repeatable:
+            self.shared_effects.read_others()
         if self.request_ids.may_have_run(request.id):
             self.fail(exchange, Rejection.REUSED)
         elif self.effects.window_passed(request.class_name, request.dedupe, exchange.accepted_ms):
@@ -220,8 +240,9 @@
         if answer.body and requester and not exchange.is_over and not requester.has_room(len(answer.body)):
             self.stats.record_rejection(Rejection.UNREAD)
             answer = Answer(FAILED)  # its client reads too slowly for all its answers to be held
-        if answer.kind == REFUSED and not self.effects.retry_is_safe(
-            request.class_name, request.dedupe, self.clock.now_ms()
+        if answer.kind == REFUSED and (
+            self.request_ids.may_have_run(request.id)
+            or not self.effects.retry_is_safe(request.class_name, request.dedupe, self.clock.now_ms())
         ):
             answer = Answer(FAILED)  # a refusal would tell the client that a retry is safe
         self._remove_open(exchange)
@@ -350,6 +371,8 @@
             return None
         try:
             node = self.router.nodes.get(attempt.get.server)  # None if it was delisted in the meantime
+            if node and not request.repeatable and not self._claim(request, node.member, now):
+                return None
             if not node or not self.effects.may_begin(
                 request.class_name, request.dedupe, node.member, now, attempt.process_is_certain
             ):
@@ -366,6 +389,21 @@
         self.request_ids.begin(request.class_name, request.id)
         return SendLimits(cap, request.deadline_ms - now)
 
+    def _claim(self, request: ClientRequest, member: api.Member, now: float) -> bool:
+        """Return whether an effect may begin as far as its id and the other process of an upgrade tell.
+
+        The own claim is told before the other's are read, so that two processes can't both miss each other's.
+        """
+        if self.shared_effects and self.shared_effects.is_active:
+            name = (request.class_name, request.dedupe)
+            if request.class_name in self.request_ids.classes:
+                self.shared_effects.publish_id(request.id)
+            elif request.dedupe:
+                first = UnconfirmedEffect(now, member.zone, member.cell)
+                self.shared_effects.publish_key(*name, self.effects.unconfirmed.get(name, first))
+            self.shared_effects.read_others()
+        return not self.request_ids.may_have_run(request.id)
+
     def on_attempt_written(self) -> None:
         """Count an attempt that was written completely."""
         self.stats.attempts += 1
--- a/hitchtiller/ops/upgrade.py
+++ b/hitchtiller/ops/upgrade.py
@@ -1,13 +1,16 @@
 """Hand-over to a new version while the old one serves: who accepts, who is ready, and each one's limits."""
 
 import contextlib
+import time
 from collections.abc import Callable
 
 from hitchtiller.front.server import Front
 from hitchtiller.log import logger
+from hitchtiller.ops.shared_effects import SharedEffects
 from hitchtiller.ops.sign import READY, ProcessMarker
 from hitchtiller.sched import Scheduler
 
+MAX_EFFECTS_DELAY_S = 0.5  # a process of an earlier version does not tell of its effects
 POLL_MS, STARTUP_POLL_MS = 100.0, 20.0  # STARTUP_POLL_MS applies until the process is ready
 
 
@@ -21,6 +24,7 @@
         front: Front,
         is_bus_followed: Callable[[bool], bool],
         apply_limits: Callable[[bool, bool], None],
+        shared_effects: SharedEffects | None = None,
     ) -> None:
         """Prepare to take over from an older process, if there is one.
 
@@ -32,10 +36,12 @@
         """
         self.sched, self.marker, self.front = sched, marker, front
         self.is_bus_followed, self.apply_limits = is_bus_followed, apply_limits
+        self.shared_effects, self.started_s = shared_effects, time.monotonic()
         self.other_processes: dict[str, str] = {}
         self.is_ready = False
         if marker:
             self.other_processes = marker.find_others()
+        self._share_effects()
         if self.older_processes():
             logger.info("takes over from {}", ", ".join(self.older_processes()))
             front.accepting = False  # it has no list of servers yet, and the older process serves
@@ -54,8 +60,20 @@
         """Return why this process is not ready to serve yet; "" if it is."""
         if not self.is_ready and not self.is_bus_followed(bool(self.older_processes())):
             return "the event bus is not followed yet"
+        if not self.is_ready and not self._knows_effects():
+            return "the older process has not told of its effects yet"
         return ""
 
+    def _knows_effects(self) -> bool:
+        """Return whether all older processes have told of their effects, or do not do so in time."""
+        if self.shared_effects is None or time.monotonic() - self.started_s > MAX_EFFECTS_DELAY_S:
+            return True
+        return all(map(self.shared_effects.has_told, self.older_processes()))
+
+    def _share_effects(self) -> None:
+        if self.shared_effects:
+            self.shared_effects.follow(self.other_processes)
+
     def run(self) -> None:
         """Poll until the program ends."""
         while True:
@@ -76,6 +94,7 @@
         if self.marker:
             with contextlib.suppress(OSError):  # out of descriptors: keep the last result
                 self.other_processes = self.marker.find_others()
+        self._share_effects()
         if before != bool(self.other_processes):
             self.apply_limits(bool(self.other_processes), bool(self.older_processes()))
         if not self.is_ready and not self.front.unready_reason():
--- a/hitchtiller/routing/effects.py
+++ b/hitchtiller/routing/effects.py
@@ -99,6 +99,20 @@
         unconfirmed.attempts += 1
         unconfirmed.scope_is_certain = unconfirmed.scope_is_certain and process_is_certain
 
+    def learn(self, class_name: str, key: str, effect: UnconfirmedEffect) -> None:
+        """Record an effect that another process of this gateway may have begun; the earlier start counts."""
+        if class_name not in self.classes:
+            return
+        known = self.unconfirmed.get((class_name, key))
+        if known is None:
+            self._forget(effect.first_sent_ms)
+            self.unconfirmed[class_name, key] = effect
+            return
+        known.first_sent_ms = min(known.first_sent_ms, effect.first_sent_ms)
+        known.attempts += effect.attempts
+        if (known.zone, known.cell) != (effect.zone, effect.cell):
+            known.scope_is_certain = False
+
     def never_ran(self, class_name: str, key: str) -> None:
         """Record proof that one of the attempts that were sent did not run."""
         if unconfirmed := self.unconfirmed.get((class_name, key)):
--- a/hitchtiller/routing/request_ids.py
+++ b/hitchtiller/routing/request_ids.py
@@ -32,6 +32,13 @@
             number = int(id, 16)
             lru_put(self.attempts, number, self.attempts.get(number, 0) + 1, MAX_IDS)
 
+    def learn(self, id: str) -> None:
+        """Record an id under which another process of this gateway may have begun an attempt.
+
+        ValueError for one that is not hexadecimal.
+        """
+        lru_put(self.attempts, int(id, 16), self.attempts.get(int(id, 16), 0) + 1, MAX_IDS)
+
     def never_ran(self, id: str) -> None:
         """Record proof that one of the attempts under an id did not run."""
         number = int(id, 16)
--- a/tests/ends/test_ends_effects.py
+++ b/tests/ends/test_ends_effects.py
@@ -1,17 +1,25 @@
 """Effects are repeated only if nothing ran, or within the repeat window of their key and scope."""
 
 import copy
+import errno
 import json
 import select
+import tempfile
+import time
 import unittest
 from dataclasses import replace
+from pathlib import Path
+from unittest.mock import patch
 
 from conftest import BASE, FLEET, Bench, gets
 from scenario import Gateway, Party, answer
 
 from hitchtiller import interface as api
 from hitchtiller.codec import frames
-from hitchtiller.routing.effects import MAX_KEYS, WINDOW_MARGIN_MS, Effects
+from hitchtiller.ops import shared_effects
+from hitchtiller.ops.shared_effects import SharedEffects
+from hitchtiller.routing.effects import MAX_KEYS, WINDOW_MARGIN_MS, Effects, UnconfirmedEffect
+from hitchtiller.routing.request_ids import RequestIds
 
 ZONE_SCOPED = api.ClassSettings(
     "pay", 800.0, 3000.0, effect="by_key", key_scope="zone", repeat_window_ms=1000.0, write=True
@@ -93,8 +101,10 @@
 class OnSockets(unittest.TestCase):
     """A class whose window is much shorter than its deadline, and one that may run only once."""
 
+    inherits_listener = False
+
     def setUp(self) -> None:
-        self.gateway = Gateway()
+        self.gateway = Gateway(self.inherits_listener)
         self.addCleanup(self.gateway.stop)
         config = copy.deepcopy(self.gateway.config)
         charge = next(cls for cls in config["settings"]["classes"] if cls["name"] == "charge")
@@ -159,3 +169,112 @@
         cache, _ = self.open_request(1, "stamp")
         cache.close()
         self.client.expect_answer(1, frames.FAILED)
+
+
+class InUpgrades(OnSockets):
+    """Effects that the old version has begun, and the new version that their clients come back to."""
+
+    inherits_listener = True
+
+    def start_successor(self) -> None:
+        """Start a new version and let it take over."""
+        self.new = self.gateway.successor()
+        self.addCleanup(self.new.kill)
+        self.new.serve_bus_until_ready()
+        self.gateway.expect_line("handed over")
+        self.client = self.gateway.client()
+        self.client.sock.settimeout(1.0)  # a request that is sent on is failed at its deadline only
+        self.addCleanup(self.client.close)
+
+    def test_an_id_that_ran_in_the_old_version_does_not_run_in_the_new_one(self) -> None:
+        """The new version started with empty tables: the effect took place twice."""
+        cache, name = self.open_request(1, "stamp", i="a" * 16)
+        first_client = self.client
+        self.start_successor()
+        first_client.close()
+        cache.expect(lambda got: got == [b"KILL", name])
+        self.client.send_request(1, b"pay", c="stamp", i="a" * 16).expect_answer(1, frames.FAILED)
+
+    def test_an_id_that_the_old_version_begins_after_the_hand_over_does_not_run_in_the_new_one(self) -> None:
+        cache, _ = self.open_request(1, "files", i="f" * 16)  # keeps the connection open
+        first_client = self.client
+        self.start_successor()
+        first_client.send_request(2, b"pay", c="stamp", i="a" * 16)
+        self.assertEqual(cache.expect_pull()[0], b"a" * 16)
+        self.client.send_request(1, b"pay", c="stamp", i="a" * 16).expect_answer(1, frames.FAILED)
+
+    def test_a_key_past_its_window_in_the_old_version_is_not_sent_by_the_new_one(self) -> None:
+        cache, name = self.open_request(1, "charge", k="5c0f")
+        self.start_successor()
+        time.sleep(0.3)
+        self.client.send_request(1, b"pay", c="charge", k="5c0f", i="b" * 16).expect_answer(1, frames.FAILED)
+
+
+class SharedTables(unittest.TestCase):
+    """Two processes of an upgrade and their files."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        classes = {"pay": GLOBALLY_SCOPED, "once": BASE.classes["once"]}
+        self.effects = [Effects(classes) for _ in range(2)]
+        self.ids = [RequestIds(classes) for _ in range(2)]
+        self.shared = [SharedEffects(self.folder, str(n), self.effects[n], self.ids[n]) for n in range(2)]
+        for shared in self.shared:
+            self.addCleanup(shared.close)
+
+    def meet(self) -> None:
+        self.shared[0].follow(["1"])
+        self.shared[1].follow(["0"])
+
+    def test_what_was_known_before_and_what_begins_later_is_told(self) -> None:
+        self.ids[0].begin("once", "a" * 16)
+        self.effects[0].begin("pay", "k1", HERE, 100.0)
+        self.meet()
+        self.shared[0].publish_id("b" * 16)
+        self.shared[0].publish_key("pay", "k2", UnconfirmedEffect(200.0, "z1", 3))
+        self.shared[1].read_others()
+        self.assertTrue(all(self.ids[1].may_have_run(digit * 16) for digit in "ab"))
+        self.assertTrue(self.effects[1].window_passed("pay", "k1", 1_100.0))
+        self.assertEqual(self.effects[1].unconfirmed["pay", "k2"].first_sent_ms, 200.0)
+
+    def test_half_a_line_and_lines_that_can_not_be_read_are_no_effects(self) -> None:
+        self.meet()
+        path = self.folder / "effects-0"
+        path.write_bytes(b"0000000002\nid zz\nkey pay k9 soon z1 0\n\xff\nid " + b"c" * 16)
+        self.shared[1].read_others()
+        self.assertEqual((self.ids[1].attempts, self.effects[1].unconfirmed), ({}, {}))
+        with path.open("ab") as file:
+            file.write(b"\n")
+        self.shared[1].read_others()
+        self.assertTrue(self.ids[1].may_have_run("c" * 16))
+
+    def test_the_file_is_bounded_and_loses_nothing_that_the_tables_hold(self) -> None:
+        self.meet()
+        with patch.object(shared_effects, "MAX_FILE_BYTES", 2_000):
+            for number in range(500):
+                self.ids[0].begin("once", f"{number:016x}")
+                self.shared[0].publish_id(f"{number:016x}")
+                if number % 7 == 0:
+                    self.shared[1].read_others()
+        self.shared[1].read_others()
+        self.assertTrue(all(self.ids[1].may_have_run(f"{number:016x}") for number in range(500)))
+
+    def test_a_folder_that_fails_stops_the_sharing_not_the_gateway(self) -> None:
+        self.meet()
+        for call in ("write", "open"):
+            with patch.object(shared_effects.os, call, side_effect=OSError(errno.ENOSPC, "no space")):
+                self.shared[0].publish_id("d" * 16)
+                self.shared[0].follow([])
+                self.shared[0].follow(["1"])
+                self.shared[0].read_others()
+        self.assertTrue(self.shared[0].has_failed)
+
+    def test_the_file_of_a_process_that_has_ended_is_read_and_removed(self) -> None:
+        self.meet()
+        self.shared[0].publish_id("e" * 16)
+        self.shared[0].close()
+        self.shared[1].follow([])
+        self.assertTrue(self.ids[1].may_have_run("e" * 16))
+        self.assertEqual(list(self.folder.iterdir()), [])
