Bound how long fast servers and a rush of new connections hold a turn

Cause, from times of each task in long turns: a connection to a server was read for as long as it had data (5 reads of 120 ms together, up to 50 ms each), and all waiting connections were accepted in one go (76 ms).

Change: in a long turn a connection to a server is read eight times in a row, then polled again; 32 connections are accepted in a turn.

--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -25,6 +25,7 @@
 MIN_ROUND_TRIP_SHARE = 0.05  # of the connect timeout: least time that a KILL or a close gets to arrive
 # Within this time a partial answer has to grow by this many bytes, or be complete.
 GROWTH_TIMEOUT_MS, MIN_GROWTH_BYTES = 400.0, 1_024
+MAX_READS_IN_A_ROW = 8  # in a long turn
 
 
 class Link:
@@ -166,6 +167,7 @@
             self.stream.close("idle")
 
     def _read(self) -> None:
+        reads = 0  # in a row, without waiting
         while True:
             data = self.stream.read()
             self.last_read_ms = now_ms()
@@ -178,6 +180,10 @@
             self.stream.charge_reader(self.reader.buffer)
             if self.sched.account.is_full():
                 self.on_full()
+            reads = 0 if self.stream.input_drained else reads + 1
+            if reads >= MAX_READS_IN_A_ROW and self.sched.is_turn_long():
+                self.sched.poll_again()  # a fast server must not delay the clients
+                reads = 0
 
     def _handle_answer(self, items: list[bytes]) -> None:
         if len(items) != resp.ANSWER_ITEMS:
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -6,6 +6,7 @@
 
 import socket
 from collections.abc import Callable
+from itertools import count
 
 from hitchtiller import interface as api
 from hitchtiller.account import Kind
@@ -17,7 +18,7 @@
 from hitchtiller.sched import READ, Scheduler, now_ms
 from hitchtiller.stream import Stream
 
-BACKLOG = 512
+BACKLOG, MAX_ACCEPTS_PER_TURN = 512, 32
 MAX_SEND_STALL_MS = 5_000.0  # a client that reads nothing of its answers for longer is disconnected
 SWEEP_INTERVAL_MS = 200.0
 MAX_REQUEST_AGE_MS = 150.0  # older unread requests are refused
@@ -156,12 +157,15 @@
         while self.listener.fileno() >= 0:
             if self.accepting:
                 self.sched.wait(self.listener.fileno(), READ)
-                self._accept_pending()
+                self._accept_pending(MAX_ACCEPTS_PER_TURN)
             else:  # not polled: the pending connections are for the other process and would wake this one
                 self.sched.sleep(20.0)
 
-    def _accept_pending(self) -> None:
-        while self.accepting and self.listener.fileno() >= 0:
+    def _accept_pending(self, limit: int | None = None) -> None:
+        """Accept the connections that wait in the kernel's queue, at most `limit` of them."""
+        for _ in count() if limit is None else range(limit):
+            if not self.accepting or self.listener.fileno() < 0:
+                return
             try:
                 sock, address = self.listener.accept()
             except BlockingIOError:
