--- a/tests/crowd/test_crowd.py
+++ b/tests/crowd/test_crowd.py
@@ -23,7 +23,7 @@
     run(behaviour)
 
 
-@pytest.mark.parametrize("behaviour", ["short-fields", "writes", "unsound", "give-up"])
+@pytest.mark.parametrize("behaviour", ["short-fields", "writes", "unsound", "give-up", "leave", "mixed"])
 def test_floods_neither_pass_the_memory_limit_nor_leave_others_unanswered(behaviour: str) -> None:
     run(behaviour, seconds=4.0)
 
