Try again when the kernel has no memory for a send or receive

Callers lost answers when send or recv failed with ENOBUFS or ENOMEM: the connection was closed as reset.

Change: nothing was sent or received, so it is tried again 10 ms later.

Evidence: two tests with a socket whose calls fail; both fail without the change.

--- a/hitchtiller/stream.py
+++ b/hitchtiller/stream.py
@@ -15,6 +15,8 @@
 from hitchtiller.sched import READ, WRITE, Scheduler, now_ms
 
 RECEIVE_BUFFER = bytearray(MAX_READ_BYTES)  # of all streams: emptied before another greenlet runs
+# Errors of send and recv that pass: the kernel has no memory for buffers just now.
+SHORTAGES, SHORTAGE_DELAY_MS = frozenset((errno.ENOBUFS, errno.ENOMEM)), 10.0
 MAX_SEND_BUFFERS = 16  # passed to one sendmsg
 # Connection states in which the other side sends nothing more: CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING.
 CLOSED_STATES = frozenset((7, 8, 9, 11))
@@ -54,6 +56,7 @@
         # When bytes were last sent or seen to be acknowledged, or a write last found `unsent` empty.
         self.last_progress_ms = 0.0
         self.is_flushing = False
+        self.is_short = False  # the last send failed for want of kernel memory
         self.input_drained = True  # no unread input is known: the last read emptied the receive buffer
         self.close_code = ""  # reason code of the close; empty while open
         self.shutdown_requested = False  # writing is shut down once `unsent` is empty
@@ -87,8 +90,11 @@
             except BlockingIOError:
                 self.input_drained = True
                 continue
-            except OSError:
-                raise StreamClosed("reset") from None
+            except OSError as error:
+                if error.errno not in SHORTAGES:
+                    raise StreamClosed("reset") from None
+                self.sched.sleep(SHORTAGE_DELAY_MS)
+                continue
             if not received:
                 raise StreamClosed("eof")
             self.input_drained = received < size
@@ -203,8 +209,11 @@
                     )
             except BlockingIOError:
                 return
-            except OSError:
-                self.close("reset")
+            except OSError as error:
+                if error.errno in SHORTAGES:
+                    self.is_short = True  # nothing was sent: the flush tries again a little later
+                else:
+                    self.close("reset")
                 return
             self.unsent_bytes -= sent
             self.sent_bytes += sent
@@ -219,7 +228,11 @@
 
     def _flush(self) -> None:
         while self.unsent and not self.close_code:
-            self.sched.wait(self.fd, WRITE)
+            if self.is_short:
+                self.is_short = False
+                self.sched.sleep(SHORTAGE_DELAY_MS)
+            else:
+                self.sched.wait(self.fd, WRITE)
             if not self.close_code:
                 self._send_unsent()
                 self._charge_unsent()
--- a/tests/test_sched.py
+++ b/tests/test_sched.py
@@ -1,9 +1,11 @@
 """The scheduler and its streams, one turn of the loop at a time."""
 
+import errno
 import socket
 import time
 import unittest
 from functools import partial
+from unittest.mock import Mock
 
 from hitchtiller.bus import CATCH_UP_LIMIT_MS, BusLink
 from hitchtiller.sched import MIN_CANCELLED_TIMERS, MIN_STALL_MS, PAUSED_SHARE_S, Scheduler, now_ms
@@ -95,6 +97,51 @@
         self.assertEqual(self.received, ["silent"])
 
 
+class ShortageTest(unittest.TestCase):
+    """The kernel has no memory for buffers for a while."""
+
+    def setUp(self) -> None:
+        self.sched = Scheduler()
+        server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(server.close)
+        self.peer = socket.create_connection(server.getsockname())
+        self.addCleanup(self.peer.close)
+        self.stream = Stream(self.sched, server.accept()[0])
+        self.addCleanup(self.stream.close, "end")
+        self.sock = self.stream.sock
+
+    def fail(self, call: str, error: int, times: int) -> None:  # type: ignore[override]
+        """Make a call of the socket fail some times."""
+        real, left = getattr(self.sock, call), [OSError(error, "shortage")] * times
+
+        def failing(*args: object) -> object:
+            if left:
+                raise left.pop()
+            return real(*args)
+
+        stand_in = Mock(wraps=self.sock)
+        setattr(stand_in, call, failing)
+        self.stream.sock = stand_in
+
+    def test_what_can_not_be_sent_for_want_of_kernel_memory_is_sent_later(self) -> None:
+        """The connection was closed, and its answers were lost."""
+        for error in (errno.ENOBUFS, errno.ENOMEM):
+            self.fail("send", error, 3)
+            self.stream.write(b"answer")
+            while self.stream.unsent:
+                self.sched.run_once()
+            self.assertEqual((self.peer.recv(100), self.stream.close_code), (b"answer", ""))
+
+    def test_what_can_not_be_received_for_want_of_kernel_memory_is_read_later(self) -> None:
+        received: list[bytes] = []
+        self.fail("recv_into", errno.ENOBUFS, 3)
+        self.peer.sendall(b"request")
+        self.sched.spawn(lambda: received.append(self.stream.read()))
+        while not received:
+            self.sched.run_once()
+        self.assertEqual(received, [b"request"])
+
+
 class StallTest(unittest.TestCase):
     def test_a_stall_of_the_process_is_detected_and_the_first_turn_is_not_one(self) -> None:
         sched = Scheduler()
