Do not believe a system that shows accepted connections as closed

The check whether a client has closed its connection reads the state of the socket. Where a platform imitates connections, the socket itself may never be connected: each client would have counted as gone. The state CLOSE counts only where the connection was seen established when it was accepted; half closed states come from the peer alone.

--- a/hitchtiller/stream.py
+++ b/hitchtiller/stream.py
@@ -18,8 +18,9 @@
 # Errors of send and recv that pass: the kernel has no memory for buffers just now.
 SHORTAGES, SHORTAGE_DELAY_MS = frozenset((errno.ENOBUFS, errno.ENOMEM)), 10.0
 MAX_SEND_BUFFERS = 16  # passed to one sendmsg
-# Connection states in which the other side sends nothing more: CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING.
-CLOSED_STATES = frozenset((7, 8, 9, 11))
+# States of a connection, see tcp(7); in half closed ones (CLOSE_WAIT, LAST_ACK, CLOSING) the peer has closed
+# it. A system that only imitates connections may show CLOSE for all of them.
+TCP_ESTABLISHED, TCP_CLOSE, HALF_CLOSED_STATES = 1, 7, frozenset((8, 9, 11))
 KERNEL_INT = struct.Struct("i")  # the result of an ioctl
 
 
@@ -56,6 +57,7 @@
         # When bytes were last sent or seen to be acknowledged, or a write last found `unsent` empty.
         self.last_progress_ms = 0.0
         self.is_flushing = False
+        self.was_established = self._tcp_state() == TCP_ESTABLISHED
         self.is_short = False  # the last send failed for want of kernel memory
         self.input_drained = True  # no unread input is known: the last read emptied the receive buffer
         self.close_code = ""  # reason code of the close; empty while open
@@ -161,10 +163,15 @@
         """
         if self.close_code:
             return True
+        state = self._tcp_state()
+        return state in HALF_CLOSED_STATES or (state == TCP_CLOSE and self.was_established)
+
+    def _tcp_state(self) -> int:
+        """Return the state of the connection, or 0 where the system does not tell."""
         try:
-            return self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in CLOSED_STATES
+            return self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
         except (OSError, IndexError):
-            return False
+            return 0
 
     def undelivered_bytes(self) -> int:
         """Return how many written bytes the other side's kernel has not acknowledged.
--- a/tests/test_sched.py
+++ b/tests/test_sched.py
@@ -2,14 +2,15 @@
 
 import errno
 import socket
+import struct
 import time
 import unittest
 from functools import partial
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 from hitchtiller.bus import CATCH_UP_LIMIT_MS, BusLink
 from hitchtiller.sched import MIN_CANCELLED_TIMERS, MIN_STALL_MS, PAUSED_SHARE_S, Scheduler, now_ms
-from hitchtiller.stream import Stream, StreamClosed
+from hitchtiller.stream import TCP_CLOSE, Stream, StreamClosed
 
 
 class SchedulerTest(unittest.TestCase):
@@ -97,6 +98,39 @@
         self.assertEqual(self.received, ["silent"])
 
 
+class PeerCloseTest(unittest.TestCase):
+    def setUp(self) -> None:
+        server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(server.close)
+        self.peer = socket.create_connection(server.getsockname())
+        self.addCleanup(self.peer.close)
+        self.stream = Stream(Scheduler(), server.accept()[0])
+        self.addCleanup(self.stream.close, "end")
+
+    def closed_within(self, seconds: float) -> bool:
+        end = time.monotonic() + seconds
+        while not self.stream.peer_has_closed() and time.monotonic() < end:
+            time.sleep(0.001)
+        return self.stream.peer_has_closed()
+
+    def test_a_close_or_reset_is_seen_behind_unread_input(self) -> None:
+        self.peer.sendall(bytes(100_000))
+        self.assertFalse(self.stream.peer_has_closed())
+        self.peer.close()
+        self.assertTrue(self.closed_within(5.0))
+
+    def test_a_reset_is_seen(self) -> None:
+        self.peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.peer.close()
+        self.assertTrue(self.closed_within(5.0))
+
+    def test_a_system_that_shows_no_connection_as_established_is_not_believed(self) -> None:
+        """Every client would have counted as gone."""
+        self.stream.was_established = False
+        with patch.object(self.stream, "_tcp_state", lambda: TCP_CLOSE):
+            self.assertFalse(self.stream.peer_has_closed())
+
+
 class ShortageTest(unittest.TestCase):
     """The kernel has no memory for buffers for a while."""
 
