Spend less time on the account and on the checks of clients

Cause: an enumeration of strings as key of the account's tables (its hash is computed in Python), a system call for each answer with a body, one for each attempt.

Change: kinds are indexes of lists; the kernel is asked only where the account alone does not allow an answer, and only where the end of a connection can't have been read.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from hitchtiller import heap, log
-from hitchtiller.account import Account, Kind
+from hitchtiller.account import FIGURE_NAMES, Account
 from hitchtiller.back.upstreams import Upstreams
 from hitchtiller.bus import BusLink
 from hitchtiller.config import Config, ConfigError, read_config
@@ -62,7 +62,9 @@
 
 def log_memory(sched: Scheduler, engine: Engine, memory_mb: float) -> None:
     """Log the memory of the process, what connections hold of it by kind, and why requests were rejected."""
-    held = [f"{kind}={size}" for kind, size in sched.account.bytes_by_kind.items() if size]
+    held = [
+        f"{name}={size}" for kind, name in FIGURE_NAMES.items() if (size := sched.account.bytes_by_kind[kind])
+    ]
     rejected = [f"rejected.{reason}={count}" for reason, count in sorted(engine.stats.rejections.items())]
     logger.info(
         "memory rss_mb={:.1f} peak_mb={:.1f} limit_mb={} held={} {}",
@@ -79,8 +81,8 @@
     stats.gauges["memory.resident"] = resident_bytes
     stats.gauges["memory.peak"] = peak_bytes
     stats.gauges["memory.held"] = lambda: account.held_bytes
-    for kind in Kind:
-        stats.gauges[f"memory.held.{kind}"] = partial(account.bytes_by_kind.__getitem__, kind)
+    for kind, name in FIGURE_NAMES.items():
+        stats.gauges[f"memory.held.{name}"] = partial(account.bytes_by_kind.__getitem__, kind)
 
 
 def log_figures(sched: Scheduler, engine: Engine, back: Upstreams) -> None:
--- a/hitchtiller/account.py
+++ b/hitchtiller/account.py
@@ -11,7 +11,7 @@
 
 import math
 import sys
-from enum import StrEnum
+from enum import IntEnum
 
 WHOLE_REQUEST_BYTES = 65_536  # of requests on one connection, whatever the others hold
 SMALL_REQUEST_BYTES = 8_192  # up to this cost a request may use the whole limit
@@ -27,17 +27,29 @@
 PART_BYTES = 256  # cost of one buffered part of a stream beside its bytes
 
 
-class Kind(StrEnum):
-    """What the bytes of a holding are; the values are names of figures."""
+class Kind(IntEnum):
+    """What the bytes of a holding are; the values are indexes."""
 
-    PARTIAL_REQUEST = "partial_requests"
-    QUEUED_REQUEST = "queued_requests"  # read whole, waiting until their client reads its answers
-    OPEN_REQUEST = "open_requests"
-    UNSENT_ANSWER = "unsent_answers"
-    UNSENT_COMMAND = "unsent_commands"
-    PARTIAL_ANSWER = "partial_answers"
-    OTHER_INPUT = "other_input"  # event bus, operators' calls, repository clients
-    OTHER_OUTPUT = "other_output"
+    PARTIAL_REQUEST = 0
+    QUEUED_REQUEST = 1  # read whole, waiting until their client reads its answers
+    OPEN_REQUEST = 2
+    UNSENT_ANSWER = 3
+    UNSENT_COMMAND = 4
+    PARTIAL_ANSWER = 5
+    OTHER_INPUT = 6  # event bus, operators' calls, repository clients
+    OTHER_OUTPUT = 7
+
+
+FIGURE_NAMES = {
+    Kind.PARTIAL_REQUEST: "partial_requests",
+    Kind.QUEUED_REQUEST: "queued_requests",
+    Kind.OPEN_REQUEST: "open_requests",
+    Kind.UNSENT_ANSWER: "unsent_answers",
+    Kind.UNSENT_COMMAND: "unsent_commands",
+    Kind.PARTIAL_ANSWER: "partial_answers",
+    Kind.OTHER_INPUT: "other_input",
+    Kind.OTHER_OUTPUT: "other_output",
+}
 
 
 class Account:
@@ -46,7 +58,7 @@
     def __init__(self) -> None:
         """Start with nothing held and no limit."""
         self.held_bytes = 0
-        self.bytes_by_kind = dict.fromkeys(Kind, 0)
+        self.bytes_by_kind = [0] * len(Kind)
         self.limit_bytes = math.inf
 
     def may_hold_request(self, holding: "Holding", size: int) -> bool:
@@ -74,8 +86,10 @@
 
     def read_bytes(self) -> int:
         """Return how many bytes may be requested by one recv."""
-        free = READ_SHARE * (self.limit_bytes - self.held_bytes)
-        return int(min(MAX_READ_BYTES, max(MIN_READ_BYTES, free)))
+        free_bytes = READ_SHARE * (self.limit_bytes - self.held_bytes)
+        if free_bytes >= MAX_READ_BYTES:
+            return MAX_READ_BYTES
+        return max(MIN_READ_BYTES, int(free_bytes))
 
 
 class Holding:
@@ -87,19 +101,20 @@
         """Start with nothing held."""
         self.account = account
         self.held_bytes = 0
-        self.bytes_by_kind: dict[Kind, int] = {}
+        self.bytes_by_kind = [0] * len(Kind)
 
     def add(self, kind: Kind, size: int) -> None:
         """Charge `size` bytes, or free them if it is negative."""
         if size:
-            self.bytes_by_kind[kind] = self.bytes_by_kind.get(kind, 0) + size
+            self.bytes_by_kind[kind] += size
             self.held_bytes += size
             self.account.held_bytes += size
             self.account.bytes_by_kind[kind] += size
 
     def set(self, kind: Kind, size: int) -> None:
         """Set how many bytes of a kind are held."""
-        self.add(kind, size - self.bytes_by_kind.get(kind, 0))
+        if size != self.bytes_by_kind[kind]:
+            self.add(kind, size - self.bytes_by_kind[kind])
 
     def set_buffer(self, kind: Kind, buffer: bytearray) -> None:
         """Set the bytes of a kind to what a buffer takes in memory, which is more than its length."""
@@ -107,13 +122,13 @@
 
     def get(self, kind: Kind) -> int:
         """Return how many bytes of a kind are held."""
-        return self.bytes_by_kind.get(kind, 0)
+        return self.bytes_by_kind[kind]
 
     def request_bytes(self) -> int:
         """Return how many bytes of whole requests are held."""
-        return self.get(Kind.OPEN_REQUEST) + self.get(Kind.QUEUED_REQUEST)
+        return self.bytes_by_kind[Kind.OPEN_REQUEST] + self.bytes_by_kind[Kind.QUEUED_REQUEST]
 
     def release(self) -> None:
         """Free all that is held."""
-        for kind in self.bytes_by_kind:
+        for kind in Kind:
             self.set(kind, 0)
--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -87,6 +87,7 @@
         self.last_probe_ms = -math.inf  # last READY frame
         self.arrived_ms = self.last_activity_ms = now_ms()  # last activity: a whole frame or an answer
         self.last_input_ms, self.is_parsing = self.arrived_ms, False
+        self.is_waiting = False  # in a read, with nothing unread
         # When the pending frame last grew by MIN_GROWTH_BYTES; None while no frame is due. The first frame is
         # due from the start.
         self.frame_progress_ms: float | None = self.last_activity_ms
@@ -128,7 +129,9 @@
     def _read(self) -> bytes:
         """Wait for bytes; raise StreamClosed at the end of the stream."""
         was_drained = self.stream.input_drained
+        self.is_waiting = True
         data = self.stream.read()
+        self.is_waiting = False
         # Left-over data was there at an earlier poll already: its deadlines count from that one.
         if was_drained:
             self.arrived_ms = self.front.sched.earliest_arrival_ms
@@ -292,6 +295,12 @@
         )
 
     def has_left(self) -> bool:
+        """Return whether the client has closed its connection, also if that can't have been read yet."""
+        if self.is_waiting and not self.front.sched.is_lagging():
+            return bool(self.stream.close_code)  # nothing is unread: the next poll tells
+        return self.check_closed()
+
+    def check_closed(self) -> bool:
         """Return whether the client has closed its connection, which then ends as if that had been read."""
         if not self.stream.close_code and self.stream.peer_has_closed():
             self.stream.close("eof")
@@ -299,9 +308,11 @@
 
     def has_room(self, size: int) -> bool:
         """Return whether an answer with a body of `size` bytes can be written or held for the client."""
-        if not self.stream.undelivered_bytes():  # the kernel takes it, or most of it
-            return size <= SMALL_REQUEST_BYTES or not self.front.account.is_full()
-        return self.front.account.may_hold_answer(self.stream.holding, size)
+        account = self.front.account
+        if account.may_hold_answer(self.stream.holding, size):
+            return True
+        is_allowed = size <= SMALL_REQUEST_BYTES or not account.is_full()
+        return is_allowed and not self.stream.undelivered_bytes()  # the kernel takes it, or most of it
 
     def _fail_flood(self) -> None:
         """Disconnect a client that sends too many requests, or keeps sending while it reads no answers."""
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -139,7 +139,7 @@
         only if no other is idle: closing over its unread input may reset the connection and discard that
         answer.
         """
-        if gone := next((client for client in self.clients if client.has_left()), None):
+        if gone := next((client for client in self.clients if client.check_closed()), None):
             self.clients.discard(gone)
             return True
         by_priority = sorted(
--- a/tests/ends/test_ends_memory.py
+++ b/tests/ends/test_ends_memory.py
@@ -148,4 +148,4 @@
         self.client_socket.close()
         self.wait_until(lambda: not self.front.clients)
         self.assertEqual(self.front.account.held_bytes, 0)
-        self.assertFalse(any(self.front.account.bytes_by_kind.values()))
+        self.assertFalse(any(self.front.account.bytes_by_kind))
