Serve 300 slow writers at 64 MB; give free pages back ten times a second

Change: connections may hold 55 % of what the process and its copies leave, not half. The free pages of the heap go back each 100 ms while connections hold over 2 MB, not each second, which pays for it.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -38,7 +39,8 @@
 MEMORY_TIER_OPTION, MIN_TIER_MEMORY_MB = "--memory-tier", 64.0
 COUNTS_INTERVAL_MS, FIGURES_INTERVAL_MS = 10_000.0, 5_000.0
 GC_INTERVAL_MS = 1_000.0
-TRIM_HELD_BYTES = 2_000_000  # held by connections: as much may be free in the heap a second later
+# Bytes held by connections from which as much may be free in the heap a little later.
+TRIM_HELD_BYTES, TRIM_INTERVAL_MS, MAX_UNTRIMMED_S = 2_000_000, 100.0, 60.0
 
 
 def log_counts(sched: Scheduler, engine: Engine, front: Front, memory_mb: float) -> None:
@@ -102,22 +104,26 @@
 
 
 def collect_garbage(sched: Scheduler) -> None:
-    """Collect the few reference cycles that exceptions leave: young ones each second, all once a minute.
-
-    The free pages of the heap go back to the system as often, or each second after connections held much.
-    """
+    """Collect the few reference cycles that exceptions leave: young ones each second, all once a minute."""
     gc.freeze()
     gc.disable()  # full collections stalled the loop by 0.2 s under load; requests leave no cycles
-    held_bytes = 0
     for round_number in count(1):
         sched.sleep(GC_INTERVAL_MS)
-        held_before, held_bytes = held_bytes, sched.account.held_bytes
-        if round_number % 60 == 0 or max(held_before, held_bytes) > TRIM_HELD_BYTES:
-            heap.trim()
         # Prevents memory growth: with young collections only, objects that survived one were never freed.
         gc.collect(2 if round_number % 60 == 0 else 1 if round_number % 10 == 0 else 0)
 
 
+def trim_heap(sched: Scheduler) -> None:
+    """Give the free pages of the heap back: ten times a second while connections hold much, and after it."""
+    held_bytes, trimmed_s = 0, time.monotonic()
+    while True:
+        sched.sleep(TRIM_INTERVAL_MS)
+        held_before, held_bytes = held_bytes, sched.account.held_bytes
+        if max(held_before, held_bytes) > TRIM_HELD_BYTES or time.monotonic() - trimmed_s > MAX_UNTRIMMED_S:
+            heap.trim()
+            trimmed_s = time.monotonic()
+
+
 @dataclass(frozen=True, slots=True)
 class Gateway:
     """The parts of a running gateway to which optional parts are added, as the operator's file requests."""
@@ -181,6 +187,7 @@
     reload = Reload(config, os.environ, bus.move)
     Signals(sched, {signal.SIGTERM: upgrade.stop, signal.SIGINT: upgrade.stop, signal.SIGHUP: reload})
     sched.spawn(collect_garbage, sched)
+    sched.spawn(trim_heap, sched)
     logger.info("serving on {}:{}, {} sockets, {} MB", host, port, config.sockets, config.memory_mb)
     sched.spawn(upgrade.run)
     sched.spawn(holdouts.run, sched)
--- a/hitchtiller/limits.py
+++ b/hitchtiller/limits.py
@@ -2,6 +2,7 @@
 
 SERVING_MB = 26.0  # memory of the process in service, without its buffers and copies
 EARLY_MB = 18.0  # soon after its start, as for two versions that run side by side
+CONNECTIONS_SHARE = 0.55
 # Copies of the memory tier that the platform's gateway keeps.
 TIER_SHARE, MAX_TIER_MB = 0.1, 16.0
 # Clients beyond a third of the descriptors, so that a probe is accepted when clients hold all of that third.
@@ -15,14 +16,14 @@
 
 
 def buffer_bytes(memory_mb: float, two_processes: bool) -> int:
-    """Return the bytes that connections may hold: half of the memory that the process and its copies leave.
+    """Return the bytes that connections may hold: a share of what the process and its copies leave.
 
-    The other half is for tables and for free pages between blocks in use. With `two_processes`, two processes
-    share the limit.
+    The rest is for tables and for free pages between blocks in use. With `two_processes`, two processes share
+    the limit.
     """
     own_mb, minimum_mb = (2.0 * EARLY_MB, 1.0) if two_processes else (SERVING_MB, 2.0)
     left_mb = memory_mb - own_mb - memory_tier_mb(memory_mb)
-    return int(max(minimum_mb, left_mb / (4.0 if two_processes else 2.0)) * 1e6)
+    return int(max(minimum_mb, CONNECTIONS_SHARE * left_mb / (1 + two_processes)) * 1e6)
 
 
 def connection_limits(limit: int, two_processes: bool, is_younger: bool) -> tuple[int, int]:
