Keep clients whose requests were read but wait for a shorter turn

A request that had been read could be lost: its connection was closed to make room, at the end of a drain, or as timed out.

Cause: a connection whose input had been read but not handled counted as idle.

Evidence: a test with a burst in a long turn; it fails without the change.

Change: while input is being handled a connection is neither idle nor timed out.

--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -86,6 +86,7 @@
         self.going_sent = False  # the client was told to send no new requests here
         self.last_probe_ms = -math.inf  # last READY frame
         self.arrived_ms = self.last_activity_ms = now_ms()  # last activity: a whole frame or an answer
+        # Parsing: what was read is not handled completely yet, and may hold whole requests.
         self.last_input_ms, self.is_parsing = self.arrived_ms, False
         self.is_waiting = False  # in a read, with nothing unread
         # When the pending frame last grew by MIN_GROWTH_BYTES; None while no frame is due. The first frame is
@@ -222,16 +223,21 @@
         """Return the reason code with which the connection has timed out, or an empty string."""
         if self.close_code:
             return self.close_code if now > self.linger_until_ms else ""
-        if self.frame_progress_ms is None or (
-            now - self.frame_progress_ms <= FRAME_TIMEOUT_MS and now - self.frame_started_ms <= MAX_FRAME_MS
+        if (
+            self.is_parsing
+            or self.frame_progress_ms is None
+            or (
+                now - self.frame_progress_ms <= FRAME_TIMEOUT_MS
+                and now - self.frame_started_ms <= MAX_FRAME_MS
+            )
         ):
             return ""
         return "half" if self.has_sent_frame else "unasked"
 
     def is_idle(self) -> bool:
-        """Return whether no answer is pending, no close is under way and no input is unread."""
+        """Return whether no answer is pending, no close is under way and no input is unread or unhandled."""
         return (
-            not (self.has_pending_answers() or self.close_code or self.stream.close_code)
+            not (self.is_parsing or self.has_pending_answers() or self.close_code or self.stream.close_code)
             and not self.stream.has_input()
         )
 
--- a/tests/ends/test_ends_clients.py
+++ b/tests/ends/test_ends_clients.py
@@ -3,12 +3,14 @@
 import contextlib
 import socket
 import time
+from unittest.mock import patch
 
+from greenlet import greenlet
 from sides import FrontCase, request_frame
 
 from hitchtiller.codec import frames
 from hitchtiller.front.client import MAX_EXCESS_REQUESTS, MAX_OPEN_REQUESTS
-from hitchtiller.sched import now_ms
+from hitchtiller.sched import PAUSED_SHARE_S, now_ms
 
 
 def give_up_frame(stream: int) -> bytes:
@@ -77,6 +79,27 @@
         self.assertEqual(answers, [(2, frames.REFUSED), (1, frames.SERVED)])
 
 
+class Bursts(FrontCase):
+    def test_a_client_whose_requests_wait_for_a_shorter_turn_is_neither_idle_nor_timed_out(self) -> None:
+        """Its requests had been read, and were lost when it made room or timed out."""
+        with patch.object(self.sched, "is_turn_long", lambda: True):
+            for _ in range(3):
+                self.sched.paused.append(
+                    greenlet(lambda _: time.sleep(PAUSED_SHARE_S), parent=self.sched.hub)
+                )
+            self.client_socket.sendall(b"".join(request_frame(stream) for stream in range(1, 21)))
+            self.wait_until(lambda: self.client.is_parsing)
+            self.assertEqual(self.engine.taken, [])
+            late_ms = now_ms() + 10_000.0
+            self.assertEqual((self.client.is_idle(), self.client.timeout_code(late_ms)), (False, ""))
+            self.front.sweep(late_ms)
+            self.assertFalse(self.front.make_room())
+            self.client.send_going()
+            self.front.leave._release_clients(final=True)
+            self.wait_until(lambda: len(self.engine.taken) == 20)
+        self.assertEqual((self.client.close_code, self.client.stream.close_code), ("", ""))
+
+
 class Floods(FrontCase):
     def test_a_client_that_floods_requests_is_closed_and_others_are_not(self) -> None:
         for stream in range(1, MAX_OPEN_REQUESTS + 1):
