Close a connection to a server for want of room only if partial answers have much of it

Found by reading: where slow readers of the repositories' front use all room, each answer of a server that arrived in pieces would have closed the connection with the largest partial answer, which frees little. It is closed only while partial answers hold a quarter of the limit. The heap is trimmed ten times a second from a fifth of the limit on, not from 2 MB: with more memory, 2 MB are held in ordinary service.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -39,8 +39,8 @@
 MEMORY_TIER_OPTION, MIN_TIER_MEMORY_MB = "--memory-tier", 64.0
 COUNTS_INTERVAL_MS, FIGURES_INTERVAL_MS = 10_000.0, 5_000.0
 GC_INTERVAL_MS = 1_000.0
-# Bytes held by connections from which as much may be free in the heap a little later.
-TRIM_HELD_BYTES, TRIM_INTERVAL_MS, MAX_UNTRIMMED_S = 2_000_000, 100.0, 60.0
+# Share of their limit that connections hold, from which much may be free in the heap a little later.
+TRIM_HELD_SHARE, TRIM_INTERVAL_MS, MAX_UNTRIMMED_S = 0.2, 100.0, 60.0
 
 
 def log_counts(sched: Scheduler, engine: Engine, front: Front, memory_mb: float) -> None:
@@ -119,7 +119,8 @@
     while True:
         sched.sleep(TRIM_INTERVAL_MS)
         held_before, held_bytes = held_bytes, sched.account.held_bytes
-        if max(held_before, held_bytes) > TRIM_HELD_BYTES or time.monotonic() - trimmed_s > MAX_UNTRIMMED_S:
+        trim_bytes = TRIM_HELD_SHARE * sched.account.limit_bytes
+        if max(held_before, held_bytes) > trim_bytes or time.monotonic() - trimmed_s > MAX_UNTRIMMED_S:
             heap.trim()
             trimmed_s = time.monotonic()
 
--- a/hitchtiller/account.py
+++ b/hitchtiller/account.py
@@ -17,6 +17,7 @@
 SMALL_REQUEST_BYTES = 8_192  # up to this cost a request may use the whole limit
 LARGE_REQUEST_SHARE = 0.9  # of the limit, for requests above that; the rest is kept for the small ones
 ANSWER_SHARE = 0.85  # of the limit, for unsent answers; the rest is kept for requests
+PARTIAL_ANSWER_SHARE = 0.25  # of the limit: below it closing connections to servers is no remedy
 SMALL_ANSWERS_BYTES = 65_536  # of unsent answers on one connection, whatever the others hold
 SHARED_SHARE, HOLDER_SHARE = (
     0.4,
@@ -84,6 +85,12 @@
         """Return whether the limit is reached."""
         return self.held_bytes >= self.limit_bytes
 
+    def answers_lack_room(self) -> bool:
+        """Return whether the limit is reached and partial answers of servers have much of it."""
+        return self.is_full() and (
+            self.bytes_by_kind[Kind.PARTIAL_ANSWER] > PARTIAL_ANSWER_SHARE * self.limit_bytes
+        )
+
     def read_bytes(self) -> int:
         """Return how many bytes may be requested by one recv."""
         free_bytes = READ_SHARE * (self.limit_bytes - self.held_bytes)
--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -178,7 +178,7 @@
                 self.last_growth_ms, self.growth_bytes = self.last_read_ms, 0
                 self._handle_answer(items)
             self.stream.charge_reader(self.reader.buffer)
-            if self.sched.account.is_full():
+            if self.sched.account.answers_lack_room():
                 self.on_full()
             reads = 0 if self.stream.input_drained else reads + 1
             if reads >= MAX_READS_IN_A_ROW and self.sched.is_turn_long():
--- a/tests/ends/test_ends_links.py
+++ b/tests/ends/test_ends_links.py
@@ -8,6 +8,7 @@
 from sides import TIMEOUT_S, Job, run_until
 
 from hitchtiller import interface as api
+from hitchtiller.account import Holding, Kind
 from hitchtiller.back import link as link_module
 from hitchtiller.back.link import Link
 from hitchtiller.back.recent_names import LATE_ANSWER_MS
@@ -50,6 +51,37 @@
         return link, server
 
 
+class Memory(LinkCase):
+    def send_partial_answer(self) -> Link:
+        """Let a server send a part of an answer that takes half of the limit."""
+        job = Job(b"a")
+        link, server = self.write_job(job)
+        self.sched.account.limit_bytes = 200_000
+        server.sendall(b"*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$150000\r\n" + bytes(100_000))
+        self.wait_until(lambda: link.stream.reader_bytes >= 100_000)
+        link.is_suspect = True  # the next job gets a connection of its own
+        return link
+
+    def test_the_largest_partial_answer_is_given_up_once_all_room_is_used(self) -> None:
+        link = self.send_partial_answer()
+        self.assertEqual(link.stream.close_code, "")
+        Holding(self.sched.account).add(Kind.UNSENT_ANSWER, 100_000)
+        other, server = self.write_job(Job(b"b"))
+        server.sendall(b"*4\r\n$1\r\nb\r\n")
+        self.wait_until(lambda: bool(link.stream.close_code))
+        self.assertEqual((link.stream.close_code, other.stream.close_code), ("memory", ""))
+
+    def test_small_partial_answers_are_kept_although_others_use_all_room(self) -> None:
+        link = self.send_partial_answer()
+        self.sched.account.limit_bytes = 500_000
+        Holding(self.sched.account).add(Kind.OTHER_OUTPUT, 500_000)
+        self.assertTrue(self.sched.account.is_full())
+        other, server = self.write_job(Job(b"b"))
+        server.sendall(b"*4\r\n$1\r\nb")
+        self.wait_until(lambda: other.stream.reader_bytes > 0)
+        self.assertEqual((link.stream.close_code, other.stream.close_code), ("", ""))
+
+
 class ReplacedProcesses(LinkCase):
     def test_a_connection_made_after_the_server_closed_one_is_uncertain_and_an_older_one_is_not(self) -> None:
         older, _ = self.write_job(Job(b"a"))
