--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -1,6 +1,7 @@
 """Entry point of one gateway: reads its configuration, connects its parts and runs the loop."""
 
 import gc
+import math
 import os
 import signal
 import sys
@@ -40,7 +41,8 @@
 COUNTS_INTERVAL_MS, FIGURES_INTERVAL_MS = 10_000.0, 5_000.0
 GC_INTERVAL_MS = 1_000.0
 # Share of their limit that connections hold, from which much may be free in the heap a little later.
-TRIM_HELD_SHARE, TRIM_INTERVAL_MS, MAX_UNTRIMMED_S = 0.2, 100.0, 60.0
+TRIM_HELD_SHARE, TRIM_INTERVAL_MS = 0.2, 100.0
+TRIM_AFTER_S, MAX_UNTRIMMED_S = 2.0, 60.0  # after connections held much, and in any case
 
 
 def log_counts(sched: Scheduler, engine: Engine, front: Front, memory_mb: float) -> None:
@@ -115,14 +117,15 @@
 
 def trim_heap(sched: Scheduler) -> None:
     """Give the free pages of the heap back: ten times a second while connections hold much, and after it."""
-    held_bytes, trimmed_s = 0, time.monotonic()
+    trimmed_s, much_held_s = time.monotonic(), -math.inf
     while True:
         sched.sleep(TRIM_INTERVAL_MS)
-        held_before, held_bytes = held_bytes, sched.account.held_bytes
-        trim_bytes = TRIM_HELD_SHARE * sched.account.limit_bytes
-        if max(held_before, held_bytes) > trim_bytes or time.monotonic() - trimmed_s > MAX_UNTRIMMED_S:
+        now_s = time.monotonic()
+        if sched.account.held_bytes > TRIM_HELD_SHARE * sched.account.limit_bytes:
+            much_held_s = now_s
+        if now_s - much_held_s < TRIM_AFTER_S or now_s - trimmed_s > MAX_UNTRIMMED_S:
             heap.trim()
-            trimmed_s = time.monotonic()
+            trimmed_s = now_s
 
 
 @dataclass(frozen=True, slots=True)
