--- a/tests/crowd/test_crowd.py
+++ b/tests/crowd/test_crowd.py
@@ -31,3 +31,9 @@
 def test_one_connection_at_full_speed_under_new_names_neither_grows_memory_nor_delays_others() -> None:
     result = run("flood", 1, 5.0)
     assert result.longest_wait_ms < LONGEST_WAIT_MS, result
+
+
+def test_32_mb_hold_with_all_clients_that_the_descriptors_allow() -> None:
+    memory_mb = 32
+    result = asyncio.run(run_crowd("leave", 341, 4.0, 5, memory_mb))
+    assert result.exit_code is None and result.peak_mb <= memory_mb and not result.wrong, result
