--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,5 +1,6 @@
 """Tests of --known-red: only listed failures are tolerated, and all are printed; a bad file is an error."""
 
+import re
 import shutil
 import subprocess
 import sys
@@ -8,6 +9,7 @@
 import pytest
 
 HERE = Path(__file__).parent
+CI_OPTION = re.compile(r'\$command (--known-red.*)"')  # in the script that CI runs
 TESTS = "def test_red(): assert False\ndef test_other_red(): assert False\ndef test_green(): pass\n"
 
 
@@ -24,6 +26,20 @@
     return done.returncode, done.stdout + done.stderr
 
 
+def test_the_option_as_ci_gives_it_is_known_with_the_plugin_in_the_folder_of_tests(tmp_path: Path) -> None:
+    tests = tmp_path / "tests"
+    tests.mkdir()
+    shutil.copy(HERE / "known_red.py", tests / "conftest.py")
+    (tests / "test_it.py").write_text("def test_red(): assert False\n")
+    (tmp_path / "pytest.ini").write_text("[pytest]\ntestpaths = tests\n")
+    (tmp_path / "KNOWN-RED.txt").write_text("tests/test_it.py::test_red, cause, 1\n")
+    option = CI_OPTION.search((HERE.parent / ".ci" / "run").read_text())
+    assert option
+    command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *option[1].split()]
+    done = subprocess.run(command, cwd=tmp_path, capture_output=True, text=True, timeout=60, check=False)
+    assert done.returncode == 0 and "1 xfailed" in done.stdout, done.stdout + done.stderr
+
+
 def test_without_the_option_every_failure_counts(tmp_path: Path) -> None:
     code, said = run(tmp_path, None)
     assert code == 1 and "2 failed, 1 passed" in said
