Do not load libcrypto: it took 3.6 to 4.8 MB of each process's memory limit

An idle process had 25.1 MB at 32 MB and 27.5 MB at 64 MB (with the memory tier), before any client.

Cause: `hashlib.blake2b` and `secrets.randbits` import `_hashlib`, which maps libcrypto. Neither needs it.

Change: blake2b from the module that hashlib takes it from (hashlib where there is none), and os.urandom for the salts of files. A test asks that the platform's gateway does not load `_hashlib`.

--- a/hitchtiller/records.py
+++ b/hitchtiller/records.py
@@ -3,13 +3,20 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from hashlib import blake2b
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from hitchtiller.interface import ClassSettings, Member, Request
 from hitchtiller.routing.fills import FillLimit
 from hitchtiller.routing.pace import Pace
 
+if TYPE_CHECKING:
+    from hashlib import blake2b
+else:
+    try:
+        from _blake2 import blake2b  # what hashlib has, without libcrypto, which takes 3 MB
+    except ImportError:
+        from hashlib import blake2b
+
 
 def hash64(*values: int) -> int:
     """Return a 64-bit hash of numbers that is the same in every process."""
--- a/hitchtiller/store/disk.py
+++ b/hitchtiller/store/disk.py
@@ -7,7 +7,6 @@
 to 43 bytes a part, and all files together take at most `budget` bytes.
 """
 
-import secrets
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -15,7 +14,7 @@
 
 from hitchtiller.log import logger
 from hitchtiller.store import format as fmt
-from hitchtiller.store.files import Files
+from hitchtiller.store.files import Files, random_salt
 from hitchtiller.store.health import OFF, Health
 from hitchtiller.store.index import hash_part, pack_place, unpack_place
 from hitchtiller.store.jobs import READ_LANE, WRITE_LANE, Jobs
@@ -191,7 +190,7 @@
         self.active = None
         if self.space.used + self.options.segment_bytes > self.options.budget:
             return None
-        segment = self.space.open(secrets.randbits(64))
+        segment = self.space.open(random_salt())
         head = fmt.write_segment_head(fmt.SegmentHead(segment.id, segment.salt, 0))
 
         def run() -> None:
--- a/hitchtiller/store/files.py
+++ b/hitchtiller/store/files.py
@@ -16,6 +16,12 @@
 
 LOCK_NAME = "lock"
 MAX_OPEN_FILES = 64  # descriptors kept open
+SALT_BYTES = 8
+
+
+def random_salt() -> int:
+    """Return a random number for a new file's checksums (`secrets` has the same, with libcrypto)."""
+    return int.from_bytes(os.urandom(SALT_BYTES), "big")
 
 
 class Files(Protocol):
--- a/hitchtiller/store/log.py
+++ b/hitchtiller/store/log.py
@@ -5,12 +5,11 @@
 force need.
 """
 
-import secrets
 from collections.abc import Callable
 from dataclasses import replace
 
 from hitchtiller.store import format as fmt
-from hitchtiller.store.files import Files
+from hitchtiller.store.files import Files, random_salt
 from hitchtiller.store.jobs import LOG_LANE, Jobs
 from hitchtiller.store.purges import Purges
 from hitchtiller.store.recover import LOG_NAME, LOG_TEMP_NAME
@@ -51,7 +50,7 @@
         batch, self.pending = self.pending, []
         rewrite = self.needs_rewrite or self.end - self.base_end > GROWTH_BYTES
         if rewrite:
-            self.salt, self.end = secrets.randbits(64), fmt.LOG_HEAD_BYTES
+            self.salt, self.end = random_salt(), fmt.LOG_HEAD_BYTES
             entries = [*self.in_force(), *(entry for entry, _ in batch)]
         else:
             entries = [entry for entry, _ in batch]
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -301,6 +301,14 @@
         done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=True)
         self.assertEqual(done.stdout.strip(), "set()")
 
+    def test_the_platforms_gateway_does_not_load_libcrypto(self) -> None:
+        """3.5 MB in each of two processes, for a hash function that needs none of it."""
+        code = "import sys, hitchtiller.__main__, hitchtiller.store.light; print('_hashlib' in sys.modules)"
+        done = subprocess.run(
+            [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+        )
+        self.assertEqual(done.stdout.strip(), "False")
+
     def test_the_descriptors_of_two_processes_fit_the_limit(self) -> None:
         """Each process used to hold a third for clients and the rest for servers: 540 descriptors of 384."""
         for limit in (256, 384, 1024):
