Leave large requests in the kernel until they are whole and there is room for them

Cause: input was read first and judged afterwards. Each connection could take 16 KB a recv however full the account was, and a slow but valid request had to live in this process until its end. When room ran out, partial requests were dropped, also those of slow writers.

Change: once half of the limit is held, a recv takes 2 KB at most, and the rest of a request whose length is known stays in the kernel (SO_RCVLOWAT) until it is whole. Its time of arrival is when it was whole; its timeouts count what the kernel holds (FIONREAD). Where the system knows no such limit, input is read as it comes. The rest of a large request is read by itself, and a dropped one in large pieces without waiting for a turn.

--- a/hitchtiller/account.py
+++ b/hitchtiller/account.py
@@ -23,8 +23,9 @@
     0.4,
     0.25,
 )  # requests beyond WHOLE_REQUEST_BYTES: of the limit; of what is free of it
-MIN_READ_BYTES, MAX_READ_BYTES = 16_384, 65_536  # requested by one recv
-READ_SHARE = 1 / 16  # of the free bytes, for one recv
+MIN_READ_BYTES, MAX_READ_BYTES = 2_048, 65_536  # requested by one recv
+READ_SHARE = 1 / 16  # of the bytes that are free for partial input, for one recv
+PARTIAL_SHARE = 0.5  # of the limit: above it the rest of a large request stays in the kernel
 PART_BYTES = 256  # cost of one buffered part of a stream beside its bytes
 
 
@@ -91,9 +92,13 @@
             self.bytes_by_kind[Kind.PARTIAL_ANSWER] > PARTIAL_ANSWER_SHARE * self.limit_bytes
         )
 
+    def may_read_partial(self, size: int) -> bool:
+        """Return whether `size` bytes more may be read of a request that is not complete."""
+        return self.held_bytes + size <= PARTIAL_SHARE * self.limit_bytes
+
     def read_bytes(self) -> int:
         """Return how many bytes may be requested by one recv."""
-        free_bytes = READ_SHARE * (self.limit_bytes - self.held_bytes)
+        free_bytes = READ_SHARE * (PARTIAL_SHARE * self.limit_bytes - self.held_bytes)
         if free_bytes >= MAX_READ_BYTES:
             return MAX_READ_BYTES
         return max(MIN_READ_BYTES, int(free_bytes))
--- a/hitchtiller/codec/frames.py
+++ b/hitchtiller/codec/frames.py
@@ -57,6 +57,21 @@
         """Return how much of the current frame has arrived, with what was dropped of it."""
         return self.dropped_bytes if self.dropping else len(self.buffer)
 
+    @property
+    def missing_bytes(self) -> int:
+        """Return how much of the current frame has not arrived; 0 if unknown, or if it is being dropped."""
+        if self.dropping or len(self.buffer) < HEAD.size:
+            return 0
+        return 4 + int.from_bytes(self.buffer[:4], "big") - len(self.buffer)
+
+    @property
+    def expected_bytes(self) -> int:
+        """Return how much completes the current frame, if its bytes are large or dropped; else 0."""
+        if self.dropping:
+            return self.remaining_bytes
+        missing_bytes = self.missing_bytes
+        return missing_bytes if missing_bytes > LARGE_LENGTH else 0
+
     def feed(self, data: bytes | memoryview) -> Iterator[Frame]:
         """Yield the frames that are complete; raise FrameError for invalid bytes.
 
--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -89,6 +89,8 @@
         # Parsing: what was read is not handled completely yet, and may hold whole requests.
         self.last_input_ms, self.is_parsing = self.arrived_ms, False
         self.is_waiting = False  # in a read, with nothing unread
+        self.is_deferred = False  # the rest of a large request stays in the kernel
+        self.may_wait_for_room = True  # until a request has waited in vain
         # When the pending frame last grew by MIN_GROWTH_BYTES; None while no frame is due. The first frame is
         # due from the start.
         self.frame_progress_ms: float | None = self.last_activity_ms
@@ -101,7 +103,8 @@
         reader = self.reader
         try:
             while True:
-                self._receive(reader, self._read())
+                self._defer_large_request()
+                self._receive(reader, self._read(reader.expected_bytes))
                 if self.discards_input:
                     reader.buffer.clear()
                     self._count_buffered()
@@ -127,12 +130,43 @@
             for exchange in exchanges:
                 self.front.engine.client_left(exchange)
 
-    def _read(self) -> bytes:
-        """Wait for bytes; raise StreamClosed at the end of the stream."""
+    def _defer_large_request(self) -> None:
+        """While room is short, leave the rest of a large request in the kernel until it is whole and fits.
+
+        If it finds no room in time, it is dropped as it is read.
+        """
+        missing_bytes = self.reader.missing_bytes
+        if self.discards_input or missing_bytes <= SMALL_REQUEST_BYTES:
+            return
+        if self.front.account.may_read_partial(missing_bytes):
+            return
+        self.is_deferred = True
+        self.stream.wait_for_input(missing_bytes)
+        self.arrived_ms = self.front.sched.earliest_arrival_ms
+        if not self.stream.close_code:
+            self._wait_for_room(missing_bytes + OPEN_REQUEST_BYTES)
+        self.is_deferred = False
+
+    def _wait_for_room(self, size: int) -> None:
+        """Wait until `size` bytes have room, or drop the current request."""
+        queue, holding = self.front.room_queue, self.stream.holding
+        self.front.relieve_memory(size, only_stopped=True)
+        has_room = queue.wait(holding, size) if self.may_wait_for_room else queue.has_room(holding, size)
+        self.may_wait_for_room = has_room
+        if not has_room:
+            self.front.relieve_memory(size)
+            if not self.front.account.may_hold_request(holding, size):
+                self.reader.drop_partial()
+                self._count_buffered()
+
+    def _read(self, max_bytes: int) -> bytes:
+        """Wait for bytes, at most `max_bytes` unless it is 0; raise StreamClosed at the end of the stream."""
         was_drained = self.stream.input_drained
         self.is_waiting = True
-        data = self.stream.read()
+        data = self.stream.read(max_bytes=max_bytes)
         self.is_waiting = False
+        if self.stream.input_drained:
+            self.may_wait_for_room = True
         # Left-over data was there at an earlier poll already: its deadlines count from that one.
         if was_drained:
             self.arrived_ms = self.front.sched.earliest_arrival_ms
@@ -153,7 +187,7 @@
         del data  # the reader's buffer will have it, and this task may be parked for long
         self.is_parsing, count = True, 0
         try:
-            if is_burst and self.front.sched.is_turn_long():
+            if is_burst and not reader.dropping and self.front.sched.is_turn_long():
                 self.front.sched.pause()  # single requests of other clients go first
                 if not self._goes_on():
                     return
@@ -195,7 +229,10 @@
             self.frame_progress_ms, self.frame_progress_bytes = now, arrived_bytes
 
     def relief_order(self, now: float) -> tuple[bool, int]:
-        """Return the order in which partial requests are dropped for want of room; the largest goes first."""
+        """Return the order in which partial requests are dropped for want of room.
+
+        The largest of those that have stopped goes first, then the largest of all.
+        """
         size = 0 if self.is_parsing else self.stream.holding.get(Kind.PARTIAL_REQUEST)
         return size > MIN_DROP_BYTES and now - self.last_input_ms > STOPPED_MS, size
 
@@ -223,6 +260,8 @@
         """Return the reason code with which the connection has timed out, or an empty string."""
         if self.close_code:
             return self.close_code if now > self.linger_until_ms else ""
+        if self.is_deferred:
+            self._check_progress(self.reader.arrived_bytes + self.stream.unread_bytes(), now)
         if (
             self.is_parsing
             or self.frame_progress_ms is None
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -13,6 +13,7 @@
 from hitchtiller.engine import Engine
 from hitchtiller.front.client import Client
 from hitchtiller.front.leave import HANDED_OVER, SERVING, DrainControl
+from hitchtiller.front.room import RoomQueue
 from hitchtiller.log import log_connection_end
 from hitchtiller.ops.stats import Rejection
 from hitchtiller.sched import READ, Scheduler, now_ms
@@ -40,6 +41,7 @@
         self.account = sched.account
         self.account.limit_bytes = max_buffered_bytes
         self.clients: set[Client] = set()
+        self.room_queue = RoomQueue(sched)
         self.state = SERVING
         self.refusing = False  # new requests are refused
         self.leave = DrainControl(self)
@@ -120,15 +122,17 @@
                 if client.has_pending_answers() and not client.close_code:
                     client.close_when_done(code)
                 # Unread input may be the rest of the frame that it is waiting for.
-                elif client.close_code or not client.stream.has_input():
+                elif client.close_code or client.is_deferred or not client.stream.has_input():
                     client.stream.close(code)
 
-    def relieve_memory(self, size: int = 0) -> None:
+    def relieve_memory(self, size: int = 0, only_stopped: bool = False) -> None:
         """Drop partial requests until `size` bytes have room: stopped ones first, then the largest."""
         now = now_ms()
         while self.account.lacks_room(size):
             victim = max(self.clients, key=lambda client: client.relief_order(now), default=None)
-            if victim is None or not victim.drop_partial_request():
+            if victim is None or (only_stopped and not victim.relief_order(now)[0]):
+                return
+            if not victim.drop_partial_request():
                 return
 
     def make_room(self) -> bool:
--- a/hitchtiller/stream.py
+++ b/hitchtiller/stream.py
@@ -76,8 +76,11 @@
         if error:
             raise StreamClosed("refused")
 
-    def read(self, timeout_ms: float | None = None) -> bytes:
-        """Wait for bytes, or raise StreamClosed: `eof`, `reset`, `silent` on a timeout, or its code."""
+    def read(self, timeout_ms: float | None = None, max_bytes: int = 0) -> bytes:
+        """Wait for bytes, or raise StreamClosed: `eof`, `reset`, `silent` on a timeout, or its code.
+
+        Returns at most `max_bytes`, or with 0 as many as the account allows.
+        """
         while True:
             if self.close_code:
                 raise StreamClosed(self.close_code)
@@ -86,7 +89,7 @@
                 if not self.sched.wait(self.fd, READ, timeout_ms):
                     raise StreamClosed("silent")
                 continue
-            size = self.sched.account.read_bytes()
+            size = min(max_bytes, MAX_READ_BYTES) or self.sched.account.read_bytes()
             try:
                 received = self.sock.recv_into(RECEIVE_BUFFER, size)
             except BlockingIOError:
@@ -102,6 +105,27 @@
             self.input_drained = received < size
             return bytes(memoryview(RECEIVE_BUFFER)[:received])
 
+    def wait_for_input(self, size: int) -> None:
+        """Wait until `size` bytes are unread in the kernel, or the stream has ended or is closed.
+
+        Where the system knows no such limit (SO_RCVLOWAT, see socket(7)) any input ends the wait.
+        """
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, size)
+        self.sched.wait(self.fd, READ)
+        if not self.close_code:
+            self.input_drained = False
+            with contextlib.suppress(OSError):
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, 1)
+
+    def unread_bytes(self) -> int:
+        """Return how many received bytes the kernel holds (ioctl FIONREAD, see tcp(7)); 0 if unknown."""
+        try:
+            result = fcntl.ioctl(self.fd, termios.FIONREAD, bytes(KERNEL_INT.size))
+        except OSError:
+            return 0
+        return int(KERNEL_INT.unpack(result)[0])
+
     def write(self, *parts: bytes | memoryview) -> None:
         """Send what the socket accepts and buffer the rest; the caller has to bound `unsent_bytes`."""
         if self.close_code:
