--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -2,8 +2,10 @@
 
     python -m standins.crowd --behaviour partial --clients 300 --seconds 6 --seed 1
     python -m standins.crowd --all
+    python -m standins.crowd --behaviour none --faults clock
 
-The gateway runs as the deploy file starts it, with `--memory-mb` and 1,024 descriptors. Each run prints a
+The gateway runs as the deploy file starts it, with `--memory-mb` and 1,024 descriptors, and with `--faults`
+in a process whose clock steps or whose calls or files fail (`standins.faulty`). Each run prints a
 line with its peak memory, what was left after the crowd had gone, and what well-behaved clients got. The exit
 code is 1 if a run passed its limit, ended the process, or left a well-behaved request unanswered.
 """
@@ -13,12 +15,14 @@
 import random
 import shutil
 import sys
+from collections.abc import Sequence
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
 import click
 
 from standins.client import StandInClient
+from standins.faulty import FAULTS
 from standins.hostile import BEHAVIOURS, LARGE_OBJECT
 from standins.rig import ROOT, Rig
 from standins.truth import Truth, now_ms
@@ -30,7 +34,8 @@
 LEAD_S, SETTLE_S = 1.0, 3.0  # of well-behaved load alone, before the crowd and after it
 ONE_CONNECTION = ("flood",)  # behaviours that one client shows alone
 # Behaviours that ask for hardly any work: others must be served as if nothing happened.
-QUIET = ("partial", "half-write", "too-long", "pieces", "unread")
+QUIET = ("none", "partial", "half-write", "too-long", "pieces", "unread")
+NO_CROWD = "none"
 MIN_SERVED_SHARE = 0.99  # of the well-behaved requests beside a quiet crowd
 MAX_LEFT_SHARE = 0.75  # of the memory limit, once the crowd has gone
 
@@ -53,6 +58,7 @@
     left_mb: float = 0.0  # after the crowd had gone and SETTLE_S had passed
     held_bytes: int = 0  # by the account, after the crowd had gone
     exit_code: int | None = None  # of the process, if it ended by itself
+    tracebacks: int = 0  # in its log
     good: dict[str, int] = field(default_factory=dict)  # answers to well-behaved clients, by kind
     longest_wait_ms: float = 0.0
     wrong: list[str] = field(default_factory=list)
@@ -65,6 +71,8 @@
         found = list(self.wrong)
         if self.exit_code is not None:
             found.append(f"the process ended with {self.exit_code}")
+        if self.tracebacks:
+            found.append(f"{self.tracebacks} tracebacks in the log")
         if self.peak_mb > memory_mb:
             found.append(f"peak of {self.peak_mb:.1f} MB over the limit of {memory_mb:.1f}")
         if self.left_mb > MAX_LEFT_SHARE * memory_mb:
@@ -146,9 +154,24 @@
     )
 
 
-async def run_crowd(behaviour: str, clients: int, seconds: float, seed: int, memory_mb: int = 64) -> Result:
-    """Run one crowd against a new gateway and return what it showed."""
+def faulty_command(seed: int, faults: Sequence[str]) -> list[str]:
+    """Return the command of a gateway in a process with faults (`standins.faulty`)."""
+    options = ["--seed", str(seed), "--faults", ",".join(faults), "--", "--memory-tier"]
+    return [sys.executable, "-m", "standins.faulty", *options]
+
+
+async def run_crowd(
+    behaviour: str,
+    clients: int,
+    seconds: float,
+    seed: int,
+    memory_mb: int = 64,
+    faults: Sequence[str] = (),
+) -> Result:
+    """Run one crowd against a new gateway and return what it showed; `faults` as of `standins.faulty`."""
     rig, result = large_rig(seed, memory_mb), Result(behaviour, seed)
+    if faults:
+        rig.command = faulty_command(seed, faults)
     await rig.start()
     try:
         await rig.launch()
@@ -156,12 +179,14 @@
         pid = rig.process.pid
         good = asyncio.create_task(GoodClients(rig, seed).run(LEAD_S + seconds + SETTLE_S))
         await asyncio.sleep(LEAD_S)
-        hostile = await start_hostile(rig.port, behaviour, clients, seconds, seed)
-        output, _ = await hostile.communicate()
-        result.hostile = json.loads(output)
+        if behaviour != NO_CROWD:
+            hostile = await start_hostile(rig.port, behaviour, clients, seconds, seed)
+            output, _ = await hostile.communicate()
+            result.hostile = json.loads(output)
         await good
         result.peak_mb, result.left_mb = status_mb(pid, "VmHWM"), status_mb(pid, "VmRSS")
         result.exit_code = rig.process.returncode
+        result.tracebacks = sum("Traceback" in line for line in rig.lines)
         if result.exit_code is None:
             figures = await rig.figures()
             result.held_bytes = figures.get("memory.held", 0)
@@ -177,23 +202,30 @@
 
 
 @click.command()
-@click.option("--behaviour", "behaviours", multiple=True, type=click.Choice(BEHAVIOURS))
+@click.option("--behaviour", "behaviours", multiple=True, type=click.Choice((NO_CROWD, *BEHAVIOURS)))
 @click.option("--all", "run_all", is_flag=True, help="Run every behaviour in turn.")
 @click.option("--clients", default=300, show_default=True, type=click.IntRange(1, 341))
 @click.option("--seconds", default=6.0, show_default=True, type=click.FloatRange(0.1, 600.0))
 @click.option("--seed", default=1, show_default=True)
 @click.option("--memory-mb", default=64, show_default=True, type=click.IntRange(32, 2048))
+@click.option("--faults", multiple=True, type=click.Choice(FAULTS), help="May be given several times.")
 def main(
-    behaviours: tuple[str, ...], run_all: bool, clients: int, seconds: float, seed: int, memory_mb: int
+    behaviours: tuple[str, ...],
+    run_all: bool,
+    clients: int,
+    seconds: float,
+    seed: int,
+    memory_mb: int,
+    faults: tuple[str, ...],
 ) -> None:
     """Run crowds one after the other and print what each showed."""
     failed = False
     for behaviour in BEHAVIOURS if run_all else behaviours:
         count = 1 if behaviour in ONE_CONNECTION else clients
-        result = asyncio.run(run_crowd(behaviour, count, seconds, seed, memory_mb))
-        faults = result.faults(memory_mb)
-        click.echo(json.dumps(asdict(result) | {"faults": faults}))
-        failed = failed or bool(faults)
+        result = asyncio.run(run_crowd(behaviour, count, seconds, seed, memory_mb, faults))
+        found = result.faults(memory_mb)
+        click.echo(json.dumps(asdict(result) | {"faults": found}))
+        failed = failed or bool(found)
     raise SystemExit(failed)
 
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -1,12 +1,14 @@
 """Plays random disturbances against gateway processes, one play for each seed, and checks what may never be.
 
     python -m standins.soak --seeds 50 --first-seed 1 --parallel 4
+    python -m standins.soak --seeds 10 --faults clock --faults calls --faults disk
 
 A play draws its length, crowds of hostile clients (`standins.hostile`) and signals, which come in series:
 SIGHUP, SIGKILL and a new start at once or a second later, SIGTERM once or several times. After SIGTERM
 well-behaved clients go on with their open connections, and SIGKILL comes at the earliest that the platform
 may send it. In the end each process has kept its memory limit, none has ended by itself, no log has a
-traceback, and each well-behaved request has one answer unless its process was killed without notice.
+traceback, and each well-behaved request has one answer unless its process was killed without notice. With
+`--faults` the processes run with faults of their clock, calls or files besides (`standins.faulty`).
 """
 
 import asyncio
@@ -16,11 +18,21 @@
 import signal
 import time
 from collections import Counter, deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import click
 
-from standins.crowd import GOOD_REQUESTS_PER_S, OBJECTS, WRITE_SHARE, large_rig, start_hostile, status_mb
+from standins.crowd import (
+    GOOD_REQUESTS_PER_S,
+    OBJECTS,
+    WRITE_SHARE,
+    faulty_command,
+    large_rig,
+    start_hostile,
+    status_mb,
+)
+from standins.faulty import FAULTS
 from standins.hostile import BEHAVIOURS
 from standins.rig import Rig
 from standins.truth import now_ms
@@ -46,10 +58,12 @@
 class Soak:
     """One play: a rig, its well-behaved clients and the disturbances drawn from a seed."""
 
-    def __init__(self, seed: int) -> None:
-        """Prepare; nothing is started yet."""
+    def __init__(self, seed: int, faults: Sequence[str] = ()) -> None:
+        """Prepare; nothing is started yet. `faults` are those of `standins.faulty`."""
         self.play, self.rng = Play(seed), random.Random(seed)
         self.rig: Rig = large_rig(seed, MEMORY_MB)
+        if faults:
+            self.rig.command = faulty_command(seed, faults)
         self.killed_ms: list[float] = []  # when a process was killed without notice
         self.is_serving = False  # new connections go to the process
         self.ended = False
@@ -136,8 +150,8 @@
         count = self.rng.randint(1, 20)
         self._step(f"{count} SIGHUP")
         for _ in range(count):
-            assert self.rig.process
-            self.rig.process.send_signal(signal.SIGHUP)
+            if self.rig.process and self.rig.process.returncode is None:
+                self.rig.process.send_signal(signal.SIGHUP)
             await asyncio.sleep(self.rng.choice((0.0, 0.001, 0.05)))
 
     async def _kill_series(self) -> None:
@@ -215,13 +229,13 @@
         return was_killed or now - begun_ms <= CROSSING_MS + max(self.own_lags_ms, default=0.0)
 
 
-async def run_plays(seeds: list[int], parallel: int) -> list[Play]:
+async def run_plays(seeds: list[int], parallel: int, faults: Sequence[str] = ()) -> list[Play]:
     """Run a play for each seed, some at a time."""
     slots = asyncio.Semaphore(parallel)
 
     async def one(seed: int) -> Play:
         async with slots:
-            return await Soak(seed).run()
+            return await Soak(seed, faults).run()
 
     return await asyncio.gather(*map(one, seeds))
 
@@ -230,9 +244,10 @@
 @click.option("--seeds", default=3, show_default=True, type=click.IntRange(1, 1000))
 @click.option("--first-seed", default=1, show_default=True)
 @click.option("--parallel", default=1, show_default=True, type=click.IntRange(1, 8))
-def main(seeds: int, first_seed: int, parallel: int) -> None:
+@click.option("--faults", multiple=True, type=click.Choice(FAULTS), help="May be given several times.")
+def main(seeds: int, first_seed: int, parallel: int, faults: tuple[str, ...]) -> None:
     """Run plays and print each with its faults."""
-    plays = asyncio.run(run_plays([first_seed + number for number in range(seeds)], parallel))
+    plays = asyncio.run(run_plays([first_seed + number for number in range(seeds)], parallel, faults))
     for play in plays:
         row = {"seed": play.seed, "peak_mb": round(play.peak_mb, 1), "counts": play.counts}
         click.echo(json.dumps(row | {"steps": play.steps, "faults": play.faults}))
