Measure spans and deadlines by a clock that does not follow steps of the wall clock

Cause: `sched.now_ms` was the wall clock. Deadlines, windows of effects, times since a loss and the checks of connections all moved with a step. The time of an effect that two processes of an upgrade share, and the names of their marker files, were wall clock too: after a step back the new process took itself for the older one, and a key stayed within its window for an hour.

Change: `now_ms` goes on from the wall clock at the process start by the monotonic clock. `wall_ms` is the wall clock, for copies' ages and purges, which other machines date; a purge counts as the younger of both. A marker's number is above those of all others.

--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -43,7 +43,10 @@
     """The current time, and calls after a delay."""
 
     def now_ms(self) -> float:
-        """Return the current time in Unix milliseconds."""
+        """Return the time for spans and deadlines in Unix milliseconds; steps of the clock don't show."""
+
+    def wall_ms(self) -> float:
+        """Return the wall clock in Unix milliseconds, for comparisons with times from other machines."""
 
     def later(self, delay_ms: float, call: Callable[[], object]) -> Timer:
         """Schedule a call after a delay and return its timer."""
@@ -78,7 +81,7 @@
     def may_send(self, exchange: Exchange) -> bool:
         """Return whether one more attempt may be sent on behalf of all requests that wait for this object."""
 
-    def limit_age(self, exchange: Exchange, cap_ms: float, now_ms: float) -> float:
+    def limit_age(self, exchange: Exchange, cap_ms: float) -> float:
         """Tighten the maximum age (ms) of the copy that a server may answer with; 0 means no bound."""
 
     def on_result(self, attempt: Attempt, result: AttemptResult) -> AttemptResult:
@@ -278,7 +281,8 @@
                 self.copies.on_purge(event)
             for listener in self.purge_listeners:
                 listener(event)
-            age_ms = max(0.0, self.clock.now_ms() - event.at_ms)
+            # the younger a purge is taken for, the fresher the copies that are accepted after it
+            age_ms = max(0.0, min(self.clock.now_ms(), self.clock.wall_ms()) - event.at_ms)
             self.submit(api.Purged(event.key, event.group, age_ms))
             return
         close_stale = self.back_end.follow(event)  # first: servers must be known before the router names them
@@ -382,7 +386,7 @@
             logger.exception("checking an attempt before its first byte failed")
             return None
         if cap is not None and self.copies:
-            cap = self.copies.limit_age(attempt.exchange, cap, now)
+            cap = self.copies.limit_age(attempt.exchange, cap)
         if cap is None:
             return None
         self.effects.begin(request.class_name, request.dedupe, node.member, now, attempt.process_is_certain)
--- a/hitchtiller/ops/shared_effects.py
+++ b/hitchtiller/ops/shared_effects.py
@@ -4,7 +4,8 @@
 before the first byte of an attempt whose effect may not simply be repeated, and reads those of the others.
 Each writes its line before it reads, so that two processes can't both miss the other's attempt.
 
-The first line is the number of the file, the others are `id ID` or `key CLASS KEY FIRST_SENT_MS ZONE CELL`.
+The first line is the number of the file, the others are `id ID` or `key CLASS KEY FIRST_SENT_MS ZONE CELL`,
+with a time of the monotonic clock: the wall clock may step between the starts of two processes.
 Half a line is not read until the rest is there, and a line that can't be read is skipped.
 
 Bounds. Above MAX_FILE_BYTES a new file is written from the tables of this process, which are bounded.
@@ -18,6 +19,7 @@
 from hitchtiller.log import logger
 from hitchtiller.routing.effects import Effects, UnconfirmedEffect
 from hitchtiller.routing.request_ids import RequestIds
+from hitchtiller.sched import from_monotonic_ms, to_monotonic_ms
 
 PREFIX = "effects-"
 MAX_FILE_BYTES = 1_000_000
@@ -136,7 +138,8 @@
                 case ["id", id]:
                     self.request_ids.learn(id)
                 case ["key", class_name, key, first_sent_ms, zone, cell]:
-                    effect = UnconfirmedEffect(float(first_sent_ms), zone, int(cell), attempts=1)
+                    sent_ms = from_monotonic_ms(float(first_sent_ms))
+                    effect = UnconfirmedEffect(sent_ms, zone, int(cell), attempts=1)
                     self.effects.learn(class_name, key, effect)
 
     def _log_failure(self, error: OSError) -> None:
@@ -146,7 +149,8 @@
 
 
 def _key_line(class_name: str, key: str, effect: UnconfirmedEffect) -> str:
-    return f"key {class_name} {key} {effect.first_sent_ms} {effect.zone} {effect.cell}\n"
+    sent_ms = to_monotonic_ms(effect.first_sent_ms)
+    return f"key {class_name} {key} {sent_ms} {effect.zone} {effect.cell}\n"
 
 
 def _write(descriptor: int, data: bytes) -> None:
--- a/hitchtiller/ops/sign.py
+++ b/hitchtiller/ops/sign.py
@@ -3,11 +3,13 @@
 import contextlib
 import fcntl
 import os
+import re
 import time
 from pathlib import Path
 
 PREFIX = "gateway-"
 STARTING, READY = "starting", "ready"
+START_NUMBER = re.compile(rf"{PREFIX}([0-9]{{20}})-")
 
 
 class ProcessMarker:
@@ -16,13 +18,18 @@
     def __init__(self, folder: Path) -> None:
         """Create the file, locked before it gets its name so that no process takes it for a stale one."""
         self.folder = folder
-        self.name = f"{PREFIX}{time.time_ns():020d}-{os.getpid()}"
+        self.name = f"{PREFIX}{self._start_number():020d}-{os.getpid()}"
         hidden_path = folder / f".{self.name}"
         self.file = hidden_path.open("w+")  # kept open: the lock ends with the process, however that ends
         fcntl.flock(self.file, fcntl.LOCK_EX)
         self.set_state(STARTING)
         hidden_path.rename(folder / self.name)
 
+    def _start_number(self) -> int:
+        """Return the time in nanoseconds, or more if the clock was set back since another process started."""
+        numbers = [START_NUMBER.match(name) for name in os.listdir(self.folder)]
+        return max(time.time_ns(), *(int(number[1]) + 1 for number in numbers if number), 0)
+
     def set_state(self, state: str) -> None:
         """Publish the state of this process to the others."""
         os.pwrite(self.file.fileno(), f"{state:8}".encode(), 0)
--- a/hitchtiller/sched.py
+++ b/hitchtiller/sched.py
@@ -29,11 +29,33 @@
 WRITE = select.POLLOUT
 
 
+# What the wall clock was ahead of the monotonic clock when this process started.
+START_OFFSET_MS = float(round((time.time() - time.monotonic()) * 1000.0))
+
+
 def now_ms() -> float:
-    """Return the current time in Unix milliseconds, the clock of all points in time named `..._ms`."""
+    """Return the clock of all spans and deadlines: Unix milliseconds that don't follow steps of the clock.
+
+    It goes on from the wall clock at the start of the process by the monotonic clock.
+    """
+    return START_OFFSET_MS + time.monotonic() * 1000.0
+
+
+def wall_ms() -> float:
+    """Return the wall clock in Unix milliseconds, for comparisons with times that other machines state."""
     return time.time() * 1000.0
 
 
+def to_monotonic_ms(at_ms: float) -> float:
+    """Return a time of `now_ms` as one of the monotonic clock, which all processes of a machine share."""
+    return at_ms - START_OFFSET_MS
+
+
+def from_monotonic_ms(at_ms: float) -> float:
+    """Return a time of the monotonic clock as one of `now_ms`."""
+    return at_ms + START_OFFSET_MS
+
+
 class Timer:
     """A call that is made at a given time unless it is cancelled."""
 
@@ -301,5 +323,5 @@
 
     def __init__(self, sched: Scheduler) -> None:
         """Schedule calls by a scheduler."""
-        self.now_ms = now_ms
+        self.now_ms, self.wall_ms = now_ms, wall_ms
         self.later = sched.later
--- a/hitchtiller/store/tier.py
+++ b/hitchtiller/store/tier.py
@@ -69,7 +69,7 @@
 
         Return whether the request was taken over; if not, the engine sends it to a server.
         """
-        request, now_ms = exchange.request, self.engine.clock.now_ms()
+        request, now_ms = exchange.request, self.engine.clock.wall_ms()
         if not self.rules.is_cacheable(request.class_name) or request.dedupe or request.body:
             return False
         self.check_clock(now_ms)
@@ -90,7 +90,7 @@
             request.client_tag,
             self.purges.last_purge_ms(request.key, request.group),
         ):
-            wait_ms = self.rules.max_join_wait_ms(request, now_ms)
+            wait_ms = self.rules.max_join_wait_ms(request, self.engine.clock.now_ms())
             self.engine.clock.later(wait_ms, partial(self._on_join_timeout, exchange))
             return True
         self.misses += 1
@@ -101,16 +101,16 @@
         """Return whether an attempt may be sent under the limit that one fill's leaders share."""
         return self.joins.may_send(exchange.number)
 
-    def limit_age(self, exchange: Exchange, cap_ms: float, now_ms: float) -> float:
+    def limit_age(self, exchange: Exchange, cap_ms: float) -> float:
         """Return the age limit for an attempt: what confirms a suspect copy must date from after the gap."""
         copy = self.fallback_copies.get(exchange.number)
         if not exchange.confirm_tag or copy is None or copy.part.epoch == self.proof.epoch:
             return cap_ms
-        return self.rules.cap_ms(now_ms, cap_ms)
+        return self.rules.cap_ms(self.engine.clock.wall_ms(), cap_ms)
 
     def on_result(self, attempt: Attempt, result: AttemptResult) -> AttemptResult:
         """Store the received part, and add the body of a confirmed copy for a client that holds none."""
-        exchange, now_ms = attempt.exchange, self.engine.clock.now_ms()
+        exchange, now_ms = attempt.exchange, self.engine.clock.wall_ms()
         self.check_clock(now_ms)
         if result.unchanged:
             return self._on_unchanged(exchange, result, now_ms)
@@ -149,7 +149,7 @@
     def fallback(self, exchange: Exchange, answer: Answer) -> Answer:
         """Return a copy within its grace time in place of a refusal or a failure, if there is one."""
         copy = self.fallback_copies.get(exchange.number)
-        if copy is None or self.rules.copy_state(copy.part, self.engine.clock.now_ms()) not in (
+        if copy is None or self.rules.copy_state(copy.part, self.engine.clock.wall_ms()) not in (
             CopyState.FRESH,
             CopyState.STALE,
         ):
@@ -188,7 +188,7 @@
             oldest_on_disk_ms = self.disk.space.oldest_ms() if self.disk else math.inf
             # Answers still on their way may be as old as what a cache holds; caches apply a purge within
             # seconds.
-            oldest_in_delivery_ms = self.engine.clock.now_ms() - MAX_DELIVERY_MS
+            oldest_in_delivery_ms = self.engine.clock.wall_ms() - MAX_DELIVERY_MS
             self.purges.forget(min(oldest_on_disk_ms, self.memory.oldest_ms(), oldest_in_delivery_ms))
         if self.disk:
             self.disk.purge(notice.key, notice.group, notice.at_ms)
@@ -199,7 +199,7 @@
 
     def on_caught_up(self) -> None:
         """Handle the notice that every event so far has been received from the bus."""
-        now_ms = self.engine.clock.now_ms()
+        now_ms = self.engine.clock.wall_ms()
         if not self.proof.begun:
             self.proof.begin(now_ms, self.monotonic_clock())
             self._on_epoch_change("the bus is followed")
@@ -233,7 +233,7 @@
             disk.purge(None, group, purge_ms)
         for key, purge_ms in own_purges.objects.items():
             disk.purge(key, -1, purge_ms)
-        if self.proof.adopt(disk.log.saved_proof, self.engine.clock.now_ms()):
+        if self.proof.adopt(disk.log.saved_proof, self.engine.clock.wall_ms()):
             disk.mark_epoch()
         if self.proof.epoch != self.epoch:
             logger.info(
@@ -292,7 +292,7 @@
         """Send an answer that waited for the link, unless its copy is no longer fresh, as after a purge."""
         if exchange.is_over:
             return
-        if self.rules.copy_state(copy.part, self.engine.clock.now_ms()) is CopyState.FRESH:
+        if self.rules.copy_state(copy.part, self.engine.clock.wall_ms()) is CopyState.FRESH:
             self.engine.finish(exchange, answer)
         else:
             self.engine.route(exchange)
@@ -310,7 +310,7 @@
 
     def _on_disk_read(self, exchange: Exchange, part: Part | None, body: bytes) -> None:
         """Handle the result of a disk read: store it in memory, and answer the client if it may be served."""
-        now_ms = self.engine.clock.now_ms()
+        now_ms = self.engine.clock.wall_ms()
         if part and self.rules.matches(part, exchange.request):
             copy, state = Copy(part, body), self.rules.copy_state(part, now_ms)
             if state is CopyState.FRESH:
@@ -358,7 +358,7 @@
         # asked.
         is_fresh = (
             copy is not None
-            and self.rules.copy_state(copy.part, self.engine.clock.now_ms()) is CopyState.FRESH
+            and self.rules.copy_state(copy.part, self.engine.clock.wall_ms()) is CopyState.FRESH
         )
         if (
             next_step is NextStep.SERVE
--- a/tests/ends/test_ends_effects.py
+++ b/tests/ends/test_ends_effects.py
@@ -20,6 +20,7 @@
 from hitchtiller.ops.shared_effects import SharedEffects
 from hitchtiller.routing.effects import MAX_KEYS, WINDOW_MARGIN_MS, Effects, UnconfirmedEffect
 from hitchtiller.routing.request_ids import RequestIds
+from hitchtiller.sched import START_OFFSET_MS, now_ms
 
 ZONE_SCOPED = api.ClassSettings(
     "pay", 800.0, 3000.0, effect="by_key", key_scope="zone", repeat_window_ms=1000.0, write=True
@@ -239,6 +240,18 @@
         self.assertTrue(self.effects[1].window_passed("pay", "k1", 1_100.0))
         self.assertEqual(self.effects[1].unconfirmed["pay", "k2"].first_sent_ms, 200.0)
 
+    def test_a_key_keeps_its_window_in_a_process_that_started_after_the_clock_was_set_back(self) -> None:
+        self.effects[0].begin("pay", "k1", HERE, now_ms())
+        self.meet()
+        set_back_ms = START_OFFSET_MS - 3_600_000.0
+        with patch("hitchtiller.sched.START_OFFSET_MS", set_back_ms):
+            other = Effects({"pay": GLOBALLY_SCOPED})
+            late = SharedEffects(self.folder, "2", other, RequestIds({}))
+            self.addCleanup(late.close)
+            late.follow(["0"])
+            self.assertFalse(other.window_passed("pay", "k1", now_ms()))
+            self.assertTrue(other.window_passed("pay", "k1", now_ms() + GLOBALLY_SCOPED.repeat_window_ms))
+
     def test_half_a_line_and_lines_that_can_not_be_read_are_no_effects(self) -> None:
         self.meet()
         path = self.folder / "effects-0"
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -22,6 +22,9 @@
     def __init__(self) -> None:
         self.now, self.calls = 1000.0, list[tuple[float, Callable[[], object]]]()
 
+    def wall_ms(self) -> float:
+        return self.now_ms()
+
     def now_ms(self) -> float:
         return self.now
 
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from dataclasses import replace
 from pathlib import Path
@@ -265,6 +266,15 @@
 
 
 class ProcessMarkers(unittest.TestCase):
+    def test_a_process_that_starts_after_the_clock_was_set_back_is_the_younger_one(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            old, start_ns = ProcessMarker(Path(name)), time.time_ns()
+            self.addCleanup(old.remove)
+            with patch("time.time_ns", lambda: start_ns - 3_600_000_000_000):
+                new = ProcessMarker(Path(name))
+            self.addCleanup(new.remove)
+            self.assertLess(old.name, new.name)
+
     def test_live_processes_are_distinguished_from_ended_ones(self) -> None:
         with tempfile.TemporaryDirectory() as name:
             folder = Path(name)
--- a/tests/test_sched.py
+++ b/tests/test_sched.py
@@ -9,10 +9,33 @@
 from unittest.mock import Mock, patch
 
 from hitchtiller.bus import CATCH_UP_LIMIT_MS, BusLink
-from hitchtiller.sched import MIN_CANCELLED_TIMERS, MIN_STALL_MS, PAUSED_SHARE_S, Scheduler, now_ms
+from hitchtiller.sched import (
+    MIN_CANCELLED_TIMERS,
+    MIN_STALL_MS,
+    PAUSED_SHARE_S,
+    Scheduler,
+    from_monotonic_ms,
+    now_ms,
+    to_monotonic_ms,
+    wall_ms,
+)
 from hitchtiller.stream import TCP_CLOSE, Stream, StreamClosed
 
 
+class Clocks(unittest.TestCase):
+    def test_a_step_of_the_wall_clock_does_not_show_in_spans(self) -> None:
+        before_ms = now_ms()
+        with patch("time.time", lambda: 0.0):
+            self.assertEqual(wall_ms(), 0.0)
+            self.assertGreaterEqual(now_ms(), before_ms)
+            self.assertLess(now_ms() - before_ms, 1_000.0)
+
+    def test_a_time_told_to_another_process_is_one_of_the_monotonic_clock(self) -> None:
+        at_ms = now_ms()
+        self.assertAlmostEqual(to_monotonic_ms(at_ms), time.monotonic() * 1000.0, delta=1_000.0)
+        self.assertAlmostEqual(from_monotonic_ms(to_monotonic_ms(at_ms)), at_ms, places=3)
+
+
 class SchedulerTest(unittest.TestCase):
     def setUp(self) -> None:
         self.sched = Scheduler()
