Go on when poll fails for want of kernel memory: it ended the process

Cause: poll(2) may fail with ENOMEM (or EINVAL). `Scheduler.run_once` caught EINTR only, so the error ended the loop and with it the process. Every other call of the loop that may fail was caught where it is made.

Change: after any other error of poll the loop makes the calls that are due, logs it once a second and polls again after 1 ms. No event is lost, as poll reports the same ones again.

--- a/hitchtiller/sched.py
+++ b/hitchtiller/sched.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import math
 import select
 import time
 from collections import deque
@@ -25,6 +26,7 @@
 LONG_TURN_S = 0.01
 MIN_CANCELLED_TIMERS = 1_000  # removing fewer of them is not worth the time
 PAUSED_SHARE_S = 0.02  # of a turn
+POLL_RETRY_S, POLL_FAILURE_LOG_S = 0.001, 1.0  # after poll has failed; between two lines about it
 READ = select.POLLIN
 WRITE = select.POLLOUT
 
@@ -97,6 +99,7 @@
         # when the loop last polled, and the earliest time at which the data found then may have arrived
         self.last_poll_ms = self.earliest_arrival_ms = now_ms()
         self.turn_start_s = 0.0  # when the present turn began, on the monotonic clock
+        self.poll_failure_s = -math.inf  # when a failure of poll was last logged
         self.lag_ms = 0.0  # longest turn since a reader last reset it
         self.resumed_ms = 0.0  # when the process last resumed after a stall
         self.signal_calls: deque[Callable[[], object]] = deque()  # from signal handlers, not started yet
@@ -256,6 +259,11 @@
             # no event is lost: poll is level-triggered and reports the same ones again
             self.is_polling = False
             ready_events = []
+        except OSError as error:  # the kernel has no memory just now
+            self.is_polling = False
+            ready_events = []
+            self._log_poll_failure(error)
+            time.sleep(POLL_RETRY_S)
         # tasks with new events run before those that were runnable already: a client may have left meanwhile
         carried_over, self.runnable = self.runnable, deque()
         while self.signal_calls:
@@ -287,6 +295,13 @@
         self._run_paused()
         self.lag_ms = max(self.lag_ms, (time.monotonic() - turn_start_s) * 1000.0)
 
+    def _log_poll_failure(self, error: OSError) -> None:
+        """Log that poll failed, once a second at most."""
+        now_s = time.monotonic()
+        if now_s - self.poll_failure_s > POLL_FAILURE_LOG_S:
+            self.poll_failure_s = now_s
+            logger.warning("poll failed: {}", error.strerror or error)
+
     def _run(self, task: greenlet, value: Any = None) -> None:
         """Run a greenlet until it parks, then the timers that have become due."""
         if not task.dead:
--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -123,7 +123,11 @@
 
     async def _ask(self, index: int) -> None:
         if self.clients[index].needs_new_connection:
-            self.clients[index] = await self.rig.terminal()
+            try:
+                self.clients[index] = await self.rig.terminal()
+            except OSError:
+                self.rig.verdicts.wrong.append("a connection was refused")
+                return
         client = self.clients[index]
         if self.rng.random() < WRITE_SHARE:
             key = f"{self.rng.getrandbits(128):032x}"
--- a/tests/test_sched.py
+++ b/tests/test_sched.py
@@ -58,6 +58,19 @@
         while len(self.received) < count:
             self.sched.run_once()
 
+    def test_a_poll_that_fails_does_not_end_the_loop(self) -> None:
+        self.sched.spawn(self.read)
+        self.sched.run_once()
+        real_poll, failures = self.sched.poll, [errno.ENOMEM, errno.EINVAL, errno.ENOMEM]
+        failing = Mock(wraps=real_poll)
+        failing.poll.side_effect = lambda timeout: (
+            (_ for _ in ()).throw(OSError(failures.pop(), "poll")) if failures else real_poll.poll(timeout)
+        )
+        self.sched.poll = failing
+        self.peer.sendall(b"a")
+        self.run_until(1)
+        self.assertEqual((self.received, failures), ([b"a"], []))
+
     def test_bytes_and_the_end_are_read_in_order(self) -> None:
         self.sched.spawn(self.read)
         self.peer.sendall(b"a")
