Bound the name, word and fields of a server's answer: they were held in no account

Found by reading, after the incident's cause: bytes that another party makes the process hold and that no account has. The reader of answers took eight items of 262 kB each. Whole items of an incomplete array are kept apart from the buffer that is charged, so a server could make each connection to it hold 0.8 to 1.8 MB unseen, until the answer was overdue.

Change: only the body may be that long; names and words have 128 bytes, fields 16,384, whether an answer comes whole or in pieces. A longer one is an error of its connection, as before for other sizes.

Result: the new test of the reader failed before.

--- a/hitchtiller/codec/resp.py
+++ b/hitchtiller/codec/resp.py
@@ -6,6 +6,8 @@
 MAX_ITEMS = 8
 ANSWER_ITEMS = 4  # every answer is an array of ID, WORD, FIELDS and BODY
 MAX_BULK_BYTES = 262_144
+MAX_FIELDS_BYTES, MAX_WORD_BYTES = 16_384, 128
+MAX_ITEM_BYTES = (MAX_WORD_BYTES, MAX_WORD_BYTES, MAX_FIELDS_BYTES, MAX_BULK_BYTES)  # by index in its array
 MAX_LINE_BYTES = 16
 # A whole answer up to its body: an array of four bulk strings.
 ANSWER_HEAD = re.compile(rb"\*4\r\n" + rb"\$(\d{1,5})\r\n([^\r]*)\r\n" * 3 + rb"\$(\d{1,6})\r\n")
@@ -18,7 +20,8 @@
 class RespReader:
     """An incremental decoder: feed it bytes and iterate over the arrays.
 
-    Between calls it buffers less than one array.
+    Between calls it buffers less than one array. Only the body may be large: whole items of an incomplete
+    array are kept apart from the buffer.
     """
 
     def __init__(self) -> None:
@@ -68,7 +71,7 @@
                 if not digits.isdigit():
                     raise RespError(f"unexpected {bytes(self.buffer[start:end])!r}")
                 size, start = int(digits), end + 2
-                if size > (MAX_BULK_BYTES if self.remaining_items else MAX_ITEMS):
+                if size > (self._max_item_bytes() if self.remaining_items else MAX_ITEMS):
                     raise RespError(f"size {size} is out of bounds")
                 if self.remaining_items:
                     self.bulk_size = size
@@ -77,6 +80,11 @@
         finally:
             del self.buffer[:start]
 
+    def _max_item_bytes(self) -> int:
+        """Return how long the next item of the current array may be."""
+        index = len(self.items)
+        return MAX_ITEM_BYTES[index] if index < len(MAX_ITEM_BYTES) else MAX_WORD_BYTES
+
     def _take_whole_answer(self, start: int) -> tuple[int, list[bytes]] | None:
         """Decode an answer that is buffered completely in one step, the usual case; return None otherwise."""
         match = ANSWER_HEAD.match(self.buffer, start)
@@ -90,6 +98,8 @@
             return None
         if sizes != (len(item_1), len(item_2), len(item_3)):
             return None
+        if any(length > limit for length, limit in zip(sizes, MAX_ITEM_BYTES, strict=False)):
+            return None
         return end + 2, [item_1, item_2, item_3, bytes(memoryview(self.buffer)[body:end])]
 
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -83,6 +83,21 @@
             with self.assertRaises(resp.RespError):
                 list(resp.RespReader().feed(malformed))
 
+    def test_only_the_body_of_an_answer_may_be_large(self) -> None:
+        """Three items of 262 kB each were kept for every connection, in no account."""
+        for index in range(3):
+            for is_whole in (False, True):
+                items = [b"a", b"DONE", b"-", b"x"]
+                items[index] = bytes(20_000)
+                data = resp.write_command(*items)
+                reader = resp.RespReader()
+                with self.assertRaises(resp.RespError):
+                    list(reader.feed(data if is_whole else data[:-3]))
+        body = bytes(resp.MAX_BULK_BYTES)
+        self.assertEqual(
+            list(resp.RespReader().feed(resp.write_command(b"a", b"DONE", b"-", body)))[0][3], body
+        )
+
 
 class Bus(unittest.TestCase):
     def test_server_records_and_purges_are_decoded(self) -> None:
