Take room away from connections while the process nears its memory limit

Class of the incident: what a process holds beside the account (allocator, small objects, tables, another machine's sizes) was only allowed for by a constant, and on x86-64 it was never measured. Where the constant is too small, the process passes its limit, as it did with 341 clients of 32 writes each.

Change: ops/memory_guard.py compares the resident memory with the limit ten times a second. Above 92 % of it, connections may hold no more than they do, but at least half of their share, and partial requests give way; below it they have their whole share again. With two processes the fixed shares stay, as what they have in common is not known. The trimming of the heap moves there from __main__.py. When a second process comes, room is taken at once.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -1,11 +1,9 @@
 """Entry point of one gateway: reads its configuration, connects its parts and runs the loop."""
 
 import gc
-import math
 import os
 import signal
 import sys
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -25,6 +23,7 @@
 from hitchtiller.ops.calls import OperatorCalls
 from hitchtiller.ops.control import ControlServer
 from hitchtiller.ops.holdouts import HoldOuts
+from hitchtiller.ops.memory_guard import MemoryGuard
 from hitchtiller.ops.process_memory import peak_bytes, resident_bytes
 from hitchtiller.ops.shared_effects import SharedEffects
 from hitchtiller.ops.sign import ProcessMarker
@@ -40,9 +39,6 @@
 MEMORY_TIER_OPTION, MIN_TIER_MEMORY_MB = "--memory-tier", 64.0
 COUNTS_INTERVAL_MS, FIGURES_INTERVAL_MS = 10_000.0, 5_000.0
 GC_INTERVAL_MS = 1_000.0
-# Share of their limit that connections hold, from which much may be free in the heap a little later.
-TRIM_HELD_SHARE, TRIM_INTERVAL_MS = 0.2, 100.0
-TRIM_AFTER_S, MAX_UNTRIMMED_S = 2.0, 60.0  # after connections held much, and in any case
 
 
 def log_counts(sched: Scheduler, engine: Engine, front: Front, memory_mb: float) -> None:
@@ -115,19 +111,6 @@
         gc.collect(2 if round_number % 60 == 0 else 1 if round_number % 10 == 0 else 0)
 
 
-def trim_heap(sched: Scheduler) -> None:
-    """Give the free pages of the heap back: ten times a second while connections hold much, and after it."""
-    trimmed_s, much_held_s = time.monotonic(), -math.inf
-    while True:
-        sched.sleep(TRIM_INTERVAL_MS)
-        now_s = time.monotonic()
-        if sched.account.held_bytes > TRIM_HELD_SHARE * sched.account.limit_bytes:
-            much_held_s = now_s
-        if now_s - much_held_s < TRIM_AFTER_S or now_s - trimmed_s > MAX_UNTRIMMED_S:
-            heap.trim()
-            trimmed_s = now_s
-
-
 @dataclass(frozen=True, slots=True)
 class Gateway:
     """The parts of a running gateway to which optional parts are added, as the operator's file requests."""
@@ -162,13 +145,14 @@
         sched, engine, config.settings, clients, buffer_bytes(config.memory_mb, two_processes=False)
     )
 
+    guard = MemoryGuard(sched, config.memory_mb, front.relieve_memory)
     calls = OperatorCalls(front, holdouts, engine.stats)
     finish = extend(Gateway(config, sched, engine, front, bus, calls, peers)) if extend else None
     for event in config.known:
         bus.apply(event)
 
     def set_limits(two_processes: bool, is_younger: bool) -> None:
-        sched.account.limit_bytes = buffer_bytes(config.memory_mb, two_processes)
+        guard.share(two_processes)
         front.max_clients, back.max_links = connection_limits(config.sockets, two_processes, is_younger)
 
     marker = ProcessMarker(folder) if folder else None
@@ -191,7 +175,7 @@
     reload = Reload(config, os.environ, bus.move)
     Signals(sched, {signal.SIGTERM: upgrade.stop, signal.SIGINT: upgrade.stop, signal.SIGHUP: reload})
     sched.spawn(collect_garbage, sched)
-    sched.spawn(trim_heap, sched)
+    sched.spawn(guard.run)
     logger.info("serving on {}:{}, {} sockets, {} MB", host, port, config.sockets, config.memory_mb)
     sched.spawn(upgrade.run)
     sched.spawn(holdouts.run, sched)
--- a/hitchtiller/limits.py
+++ b/hitchtiller/limits.py
@@ -3,6 +3,9 @@
 SERVING_MB = 26.0  # memory of the process in service, without its buffers and copies
 EARLY_MB = 18.0  # soon after its start, as for two versions that run side by side
 CONNECTIONS_SHARE = 0.55
+# Of the memory limit: the resident memory above which connections may hold less, and of what they may hold
+# else: the least that is left to them.
+RESIDENT_SHARE, MIN_BUFFER_SHARE = 0.92, 0.5
 # Copies of the memory tier that the platform's gateway keeps.
 TIER_SHARE, MAX_TIER_MB = 0.1, 16.0
 # Clients beyond a third of the descriptors, so that a probe is accepted when clients hold all of that third.
@@ -26,6 +29,15 @@
     return int(max(minimum_mb, CONNECTIONS_SHARE * left_mb / (1 + two_processes)) * 1e6)
 
 
+def allowed_bytes(base_bytes: int, held_bytes: int, resident_bytes: int, memory_bytes: float) -> int:
+    """Return the bytes that connections may hold: `base_bytes`, or less near the memory limit.
+
+    `held_bytes` is what they hold now, as a part of `resident_bytes`.
+    """
+    spare_bytes = RESIDENT_SHARE * memory_bytes - resident_bytes
+    return int(min(base_bytes, max(MIN_BUFFER_SHARE * base_bytes, held_bytes + spare_bytes)))
+
+
 def connection_limits(limit: int, two_processes: bool, is_younger: bool) -> tuple[int, int]:
     """Return how many clients and how many connections to servers a process may hold.
 
--- a/hitchtiller/ops/process_memory.py
+++ b/hitchtiller/ops/process_memory.py
@@ -8,12 +8,17 @@
 KIB = 1024
 
 
-def resident_bytes() -> int:
-    """Return the resident memory of this process; the peak where the system does not tell."""
+def current_bytes() -> int:
+    """Return the resident memory of this process; 0 where the system does not tell."""
     try:
         return int(STATM.read_text().split()[1]) * os.sysconf("SC_PAGESIZE")
     except (OSError, ValueError, IndexError):
-        return peak_bytes()
+        return 0
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process; the peak where the system does not tell."""
+    return current_bytes() or peak_bytes()
 
 
 def peak_bytes() -> int:
