--- a/hitchtiller/limits.py
+++ b/hitchtiller/limits.py
@@ -5,7 +5,7 @@
 CONNECTIONS_SHARE = 0.55
 # Of the memory limit: the resident memory above which connections may hold less, and of what they may hold
 # else: the least that is left to them.
-RESIDENT_SHARE, MIN_BUFFER_SHARE = 0.92, 0.5
+RESIDENT_SHARE, MIN_BUFFER_SHARE = 0.98, 0.5
 # Copies of the memory tier that the platform's gateway keeps.
 TIER_SHARE, MAX_TIER_MB = 0.1, 16.0
 # Clients beyond a third of the descriptors, so that a probe is accepted when clients hold all of that third.
