--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -27,6 +27,7 @@
 )
 from hitchtiller.log import logger
 from hitchtiller.news import Event, PurgeNotice, Topology
+from hitchtiller.ops.request_log import RequestLog
 from hitchtiller.ops.stats import Rejection, Stats
 from hitchtiller.routing.effects import Effects, UnconfirmedEffect
 from hitchtiller.routing.request_ids import RequestIds
@@ -138,7 +139,7 @@
         self.may_lack_events: Callable[[], bool] = bool  # whether bus events may have been missed
         self.purge_listeners: list[Callable[[PurgeNotice], object]] = []
         self.on_final_answer: Callable[[Exchange, Answer], None] | None = None  # called for each final answer
-        self.stats = Stats(router.settings.classes)
+        self.stats, self.request_log = Stats(router.settings.classes), RequestLog()
         self.stats.gauges = {
             "in_flight": lambda: len(self.open_exchanges),
             "station_caches_known": lambda: len(router.nodes),
@@ -217,10 +218,15 @@
 
     def fail(self, exchange: Exchange, reason: Rejection) -> None:
         """Fail a request without the router, and report to the router that its client left."""
-        self.stats.record_rejection(reason)
+        self._record_rejection(exchange, FAILED, reason)
         self.finish(exchange, Answer(FAILED))
         self.abandon(exchange)
 
+    def _record_rejection(self, exchange: Exchange, kind: str, reason: Rejection) -> None:
+        self.stats.record_rejection(reason)
+        request = exchange.request
+        self.request_log.record_rejection(request.id, request.class_name, kind, reason)
+
     def abandon(self, exchange: Exchange) -> None:
         """Tell the router and the copies that a request is over, and cancel its attempts."""
         self._remove_open(exchange)
@@ -241,7 +247,7 @@
             answer = self.copies.fallback(exchange, answer)
         request, requester = exchange.request, exchange.requester
         if answer.body and requester and not exchange.is_over and not requester.has_room(len(answer.body)):
-            self.stats.record_rejection(Rejection.UNREAD)
+            self._record_rejection(exchange, FAILED, Rejection.UNREAD)
             answer = Answer(FAILED)  # its client reads too slowly for all its answers to be held
         if answer.kind == REFUSED and (
             self.request_ids.may_have_run(request.id)
@@ -321,11 +327,11 @@
                 self.send(action)
             case api.Refuse():
                 if exchange := self.open_exchanges.get(action.id):
-                    self.stats.record_rejection(Rejection.ROUTER_REFUSED)
+                    self._record_rejection(exchange, REFUSED, Rejection.ROUTER_REFUSED)
                     self.finish(exchange, Answer(REFUSED, wait_ms=action.retry_after_ms))
             case api.Fail():
                 if exchange := self.open_exchanges.get(action.id):
-                    self.stats.record_rejection(Rejection.ROUTER_FAILED)
+                    self._record_rejection(exchange, FAILED, Rejection.ROUTER_FAILED)
                     self.finish(exchange, Answer(FAILED))
             case api.Cancel():
                 if exchange := self.open_exchanges.get(action.id):
@@ -352,6 +358,9 @@
         if exchange is None:
             return
         now = self.clock.now_ms()
+        if exchange.attempts:
+            number, request_id = len(exchange.attempts), exchange.request.id
+            self.request_log.record_retry(request_id, number, get.server, exchange.last_status)
         withheld = self.copies is not None and not self.copies.may_send(exchange)
         attempt = Attempt(exchange, get, now, self.authorize, self.on_attempt_end, self.on_attempt_written)
         if 0.0 < get.timeout_ms < exchange.request.deadline_ms - now - 1.0:  # otherwise the deadline ends it
@@ -422,6 +431,7 @@
         """Handle the end of an attempt; the first served one becomes the final answer."""
         exchange = attempt.exchange
         self.stats.record_attempt_result(result.status)
+        exchange.last_status = result.status
         if attempt.written and result.status in NEVER_RAN:
             self.effects.never_ran(exchange.request.class_name, exchange.request.dedupe)
             self.request_ids.never_ran(exchange.request.id)
--- a/hitchtiller/exchange.py
+++ b/hitchtiller/exchange.py
@@ -128,7 +128,7 @@
 
     __slots__ = (
         "request", "attempts", "confirm_tag", "is_routed", "deliver", "cancel_deadline", "blocked_until_ms",
-        "number", "is_over", "accepted_ms", "requester",
+        "number", "is_over", "accepted_ms", "requester", "last_status",
     )  # fmt: skip
 
     def __init__(
@@ -145,6 +145,7 @@
         self.is_over = False
         self.is_routed = False  # submitted to the router
         self.accepted_ms = 0.0
+        self.last_status = ""  # of the attempt that ended last
         # until then an attempt that was given up may still reach its server, so no other may be sent
         self.blocked_until_ms = 0.0
         self.confirm_tag = ""  # tag of the gateway's own copy that a server is asked to confirm
--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -398,7 +398,7 @@
         is_new = stream != 0 and self.stream_numbers.claim(stream)
         # A cache must not get the same request id twice at the same time.
         if not is_new or self.front.engine.has_request(request.id):
-            return self._reject(stream, FAILED, Rejection.REUSED, request.class_name)
+            return self._reject(stream, FAILED, Rejection.REUSED, request.class_name, request.id)
         self.accepted_count += 1
         is_full = len(self.open_exchanges) >= MAX_OPEN_REQUESTS
         self.excess_requests = self.excess_requests + 1 if is_full else 0
@@ -406,7 +406,7 @@
             return self._fail_flood()
         cost = OPEN_REQUEST_BYTES + len(request.body)
         if reason := self._refusal_reason(is_full, cost, arrived_ms):
-            return self._reject(stream, REFUSED, reason, request.class_name)
+            return self._reject(stream, REFUSED, reason, request.class_name, request.id)
         exchange = self.front.engine.accept(request, partial(self._on_answer, stream), self)
         if not exchange.is_over:
             self.open_exchanges[stream] = exchange
@@ -424,11 +424,14 @@
             return Rejection.MEMORY
         return self.front.refusal_reason(arrived_ms)
 
-    def _reject(self, stream: int, kind: str, reason: Rejection, class_name: str = "") -> None:
-        """Answer a request that is not accepted; `class_name` is its class where that is known."""
-        stats = self.front.engine.stats
-        stats.record_rejection(reason)
-        stats.record_answer(class_name, kind)
+    def _reject(
+        self, stream: int, kind: str, reason: Rejection, class_name: str = "", request_id: str = ""
+    ) -> None:
+        """Answer a request that is not accepted; its class and its id are empty where they are not known."""
+        engine = self.front.engine
+        engine.stats.record_rejection(reason)
+        engine.stats.record_answer(class_name, kind)
+        engine.request_log.record_rejection(request_id, class_name, kind, reason)
         wait_ms = self.front.settings.max_retry_after_ms if kind == REFUSED else 0.0
         self._send_answer(stream, Answer(kind, wait_ms=wait_ms))
 
--- a/hitchtiller/log.py
+++ b/hitchtiller/log.py
@@ -1,6 +1,6 @@
 """Logging: plain lines on standard error or records for a sink.
 
-Each connection that ends is logged with a reason code; single requests are not logged.
+Each connection that ends is logged with a reason code; for single requests see ops/request_log.py.
 """
 
 import sys
--- a/tests/ends/sides.py
+++ b/tests/ends/sides.py
@@ -14,6 +14,7 @@
 from hitchtiller.exchange import SERVED, Answer, ClientRequest, Exchange, Requester
 from hitchtiller.front.client import Client
 from hitchtiller.front.server import Front
+from hitchtiller.ops.request_log import RequestLog
 from hitchtiller.ops.stats import Rejection, Stats
 from hitchtiller.sched import Scheduler
 
@@ -68,7 +69,7 @@
     """Records the accepted requests and those whose clients have left; the test answers them."""
 
     def __init__(self) -> None:
-        self.stats = Stats(dict(BASE.classes))
+        self.stats, self.request_log = Stats(dict(BASE.classes)), RequestLog()
         self.open: dict[int, Exchange] = {}
         self.taken: list[str] = []
         self.left: list[str] = []
