Move stream numbers and the timeout of frames out of client.py

StreamNumbers moves as it was. The four fields of a frame's timeout and their two rules become FrameTimeout, with no change of behaviour: tests/test_front.py holds it.

--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -12,7 +12,9 @@
 from hitchtiller.codec import frames
 from hitchtiller.exchange import FAILED, REFUSED, Answer, Exchange
 from hitchtiller.front.asks import MAX_REQUEST_BYTES, RequestError, read_request, write_answer
+from hitchtiller.front.frame_timeout import FrameTimeout
 from hitchtiller.front.reading import ReadingEstimate
+from hitchtiller.front.stream_numbers import StreamNumbers
 from hitchtiller.log import log_connection_end
 from hitchtiller.ops.stats import Rejection
 from hitchtiller.sched import LAG_LIMIT_MS, now_ms
@@ -23,16 +25,12 @@
 
 MAX_OPEN_REQUESTS = 32
 MANY_OPEN_REQUESTS = 8  # from here on a client waits for the others in a long turn
-MAX_SKIPPED_STREAMS = 64  # skipped stream numbers that may still be used
 HIGH_WATER_BYTES = 1_000_000  # unsent bytes above which new requests of the client wait (backpressure)
 MAX_EXCESS_REQUESTS = 32  # consecutive requests above MAX_OPEN_REQUESTS that are refused before a disconnect
 BURST_BYTES = 1_024  # input that may hold many requests
 FRAMES_PER_TURN = 16  # a burst of hundreds of frames must not delay the other connections; 1 in a long turn
 MIN_DROP_BYTES = 1_024  # of a partial request: dropping less frees too little
 STOPPED_MS = 300.0  # without a byte: a partial request that is dropped before those that still grow
-FRAME_TIMEOUT_MS = 2_200.0  # for the first whole frame, and for the rest of a partial one
-# A partial frame that grows by this much starts its timeout again, but has to be complete after MAX_FRAME_MS.
-MIN_GROWTH_BYTES, MAX_FRAME_MS = 32, 6_000.0
 MIN_IDLE_MS = 200.0  # before a drain closes a connection: a request may cross the GOING frame (type 3)
 PROBE_KEEP_MS = 1_000.0  # connections with readiness probes, which come 10 times per second, are kept
 QUEUE_CHECK_MS = 20.0
@@ -47,26 +45,6 @@
 REJECTION_BY_CODE = {"flood": Rejection.FLOOD, "bad-frame": Rejection.BAD_FRAME}
 
 
-class StreamNumbers:
-    """The stream numbers that a connection has used, in bounded memory."""
-
-    def __init__(self) -> None:
-        """Start without any used number."""
-        self.highest, self.skipped = 0, set[int]()
-
-    def claim(self, number: int) -> bool:
-        """Mark a number as used; return False if it was used before or is too old to be accepted."""
-        if number <= self.highest:
-            known = number in self.skipped
-            self.skipped.discard(number)
-            return known
-        self.skipped.update(range(max(self.highest + 1, number - MAX_SKIPPED_STREAMS), number))
-        while len(self.skipped) > MAX_SKIPPED_STREAMS:
-            self.skipped.remove(min(self.skipped))
-        self.highest = number
-        return True
-
-
 class Client:
     """One client connection; requests that are open when it ends are abandoned."""
 
@@ -92,11 +70,7 @@
         self.is_waiting = False  # in a read, with nothing unread
         self.is_deferred = False  # the rest of a large request stays in the kernel
         self.may_wait_for_room = True  # until a request has waited in vain
-        # When the pending frame last grew by MIN_GROWTH_BYTES; None while no frame is due. The first frame is
-        # due from the start.
-        self.frame_progress_ms: float | None = self.last_activity_ms
-        # When that frame began, and how much of it had arrived at frame_progress_ms.
-        self.frame_started_ms, self.frame_progress_bytes = self.last_activity_ms, 0
+        self.frame_timeout = FrameTimeout(self.arrived_ms)
         self.linger_ms, self.linger_until_ms = DEFAULT_LINGER_MS, math.inf
 
     def run(self) -> None:
@@ -196,7 +170,8 @@
                     return
             for frame in incoming:
                 count += 1
-                self.has_sent_frame, self.last_activity_ms, self.frame_progress_ms = True, started_ms, None
+                self.has_sent_frame, self.last_activity_ms = True, started_ms
+                self.frame_timeout.record_whole()
                 self._count_buffered()
                 self._handle_frame(frame, arrived_ms)
                 del frame  # its payload is not charged any more, and this task may be parked for long
@@ -210,7 +185,7 @@
         finally:
             self.is_parsing = False
         self._count_buffered()
-        self._check_progress(reader.arrived_bytes, started_ms)
+        self.frame_timeout.record_progress(reader.arrived_bytes, started_ms)
         if self.front.account.lacks_room():
             self.front.relieve_memory()
 
@@ -220,17 +195,6 @@
             raise StreamClosed(self.stream.close_code)
         return not self.discards_input
 
-    def _check_progress(self, arrived_bytes: int, now: float) -> None:
-        """Restart the timeout of a partial frame if enough of it has arrived since the last restart."""
-        if arrived_bytes and self.frame_progress_ms is None:
-            self.frame_started_ms = now
-        # Progress restarts the timeout: requests that arrived in pieces over more than 2.2 s were cut off
-        # although they kept growing.
-        if arrived_bytes and (
-            self.frame_progress_ms is None or arrived_bytes >= self.frame_progress_bytes + MIN_GROWTH_BYTES
-        ):
-            self.frame_progress_ms, self.frame_progress_bytes = now, arrived_bytes
-
     def relief_order(self, now: float) -> tuple[bool, int]:
         """Return the order in which partial requests are dropped for want of room.
 
@@ -264,15 +228,9 @@
         if self.close_code:
             return self.close_code if now > self.linger_until_ms else ""
         if self.is_deferred:
-            self._check_progress(self.reader.arrived_bytes + self.stream.unread_bytes(), now)
-        if (
-            self.is_parsing
-            or self.frame_progress_ms is None
-            or (
-                now - self.frame_progress_ms <= FRAME_TIMEOUT_MS
-                and now - self.frame_started_ms <= MAX_FRAME_MS
-            )
-        ):
+            arrived_bytes = self.reader.arrived_bytes + self.stream.unread_bytes()
+            self.frame_timeout.record_progress(arrived_bytes, now)
+        if self.is_parsing or not self.frame_timeout.is_overdue(now):
             return ""
         return "half" if self.has_sent_frame else "unasked"
 
--- a/tests/ends/test_ends_memory.py
+++ b/tests/ends/test_ends_memory.py
@@ -7,7 +7,8 @@
 from hitchtiller.account import Kind
 from hitchtiller.codec import frames
 from hitchtiller.front.asks import MAX_REQUEST_BYTES
-from hitchtiller.front.client import FRAME_TIMEOUT_MS, OPEN_REQUEST_BYTES
+from hitchtiller.front.client import OPEN_REQUEST_BYTES
+from hitchtiller.front.frame_timeout import FRAME_TIMEOUT_MS
 from hitchtiller.ops.stats import Rejection
 from hitchtiller.sched import now_ms
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -4,7 +4,7 @@
 
 from hitchtiller.codec import frames, resp
 from hitchtiller.codec.bus import BusError, BusReader
-from hitchtiller.front.client import StreamNumbers
+from hitchtiller.front.stream_numbers import StreamNumbers
 from hitchtiller.news import PurgeNotice, Topology
 
 
