Drop the input of a deferred request once its connection closes

While the rest of a large request waits in the kernel, the connection may be closed for its time or for bad frames. Its input then stayed unread until the end, and a close over unread input resets the connection and can discard its last answers. Found by reading the code of the deferral. The wait now ends as soon as input is only dropped. The test failed before.

--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -118,7 +118,7 @@
         self.is_deferred = True
         self.stream.wait_for_input(missing_bytes)
         self.arrived_ms = self.front.sched.earliest_arrival_ms
-        if not self.stream.close_code:
+        if not (self.stream.close_code or self.discards_input):
             self._wait_for_room(missing_bytes + OPEN_REQUEST_BYTES)
         self.is_deferred = False
 
@@ -213,7 +213,7 @@
 
     def fail_all(self, code: str) -> None:
         """Answer FAILED on stream 0 and to all open and queued requests, drop further input and close."""
-        self.discards_input = True
+        self._discard_input()
         reason = REJECTION_BY_CODE[code]
         self._send_answer(0, Answer(FAILED))
         for stream in list(self.queued_requests):
@@ -320,6 +320,12 @@
         is_allowed = size <= SMALL_REQUEST_BYTES or not account.is_full()
         return is_allowed and not self.stream.undelivered_bytes()  # the kernel takes it, or most of it
 
+    def _discard_input(self) -> None:
+        """Drop all further input as it is read, also that of a deferred request."""
+        self.discards_input = True
+        if self.is_deferred:
+            self.stream.end_wait_for_input()
+
     def _fail_flood(self) -> None:
         """Disconnect a client that sends too many requests, or keeps sending while it reads no answers."""
         if not self.discards_input:
@@ -452,6 +458,6 @@
         sends them again on another connection.
         """
         if self.close_code and not (self.open_exchanges or self.queued_requests):
-            self.discards_input = True
+            self._discard_input()
             self.linger_until_ms = min(self.linger_until_ms, now_ms() + self.linger_ms)
             self.stream.finish()
--- a/hitchtiller/stream.py
+++ b/hitchtiller/stream.py
@@ -116,13 +116,19 @@
 
         Where the system knows no such limit (SO_RCVLOWAT, see socket(7)) any input ends the wait.
         """
-        with contextlib.suppress(OSError):
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, size)
+        self._set_min_input(size)
         self.sched.wait(self.fd, READ)
+        self.input_drained = False
+        self._set_min_input(1)
+
+    def end_wait_for_input(self) -> None:
+        """Let any input end `wait_for_input`."""
+        self._set_min_input(1)
+
+    def _set_min_input(self, size: int) -> None:
         if not self.close_code:
-            self.input_drained = False
             with contextlib.suppress(OSError):
-                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, 1)
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, size)
 
     def unread_bytes(self) -> int:
         """Return how many received bytes the kernel holds (ioctl FIONREAD, see tcp(7)); 0 if unknown."""
--- a/tests/ends/test_ends_memory.py
+++ b/tests/ends/test_ends_memory.py
@@ -153,6 +153,14 @@
         self.front.sweep(now + FRAME_TIMEOUT_MS + 1.0)
         self.assertIn(self.client, self.front.clients)
 
+    def test_the_input_of_a_deferred_request_is_dropped_once_its_connection_closes(self) -> None:
+        """A close over unread input resets the connection, and with it answers under way."""
+        self.send(write_frame(1)[:-1])
+        self.wait_until(lambda: self.client.is_deferred and self.client.stream.unread_bytes() > 40_000)
+        self.client.close_when_done("half")
+        self.wait_until(lambda: self.client.stream.unread_bytes() == 0)
+        self.assertFalse(self.client.stream.close_code)
+
     def test_a_client_that_leaves_a_deferred_request_is_removed_at_once(self) -> None:
         self.send(write_frame(1)[:-1])
         self.wait_until(lambda: self.client.is_deferred and self.client.stream.unread_bytes() > 40_000)
