Let go of a server's last answer before a connection waits for more

Cause: by a dump of the large objects in use, 42 and 43 bodies of 240 kB were held by lists of the four items of an answer. `Link._read` kept its last answer and its last input in local names while its task was parked for the next one, so each idle connection held up to 0.3 MB in no account.

Change: both names are deleted before the task may park.

The test failed before.

--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -174,9 +174,12 @@
             self.growth_bytes += len(data)
             if not self.reader.in_array or self.growth_bytes >= MIN_GROWTH_BYTES:
                 self.last_growth_ms, self.growth_bytes = self.last_read_ms, 0
-            for items in self.reader.feed(data):
+            incoming = self.reader.feed(data)
+            del data  # this task may be parked for long, and what it holds is not charged
+            for items in incoming:
                 self.last_growth_ms, self.growth_bytes = self.last_read_ms, 0
                 self._handle_answer(items)
+                del items
             self.stream.charge_reader(self.reader.buffer)
             if self.sched.account.answers_lack_room():
                 self.on_full()
--- a/tests/ends/test_ends_links.py
+++ b/tests/ends/test_ends_links.py
@@ -1,6 +1,7 @@
 """Connections to servers: cancelled, broken and endless answers, and messages that must not overtake them."""
 
 import socket
+import sys
 import time
 import unittest
 from collections.abc import Callable
@@ -62,6 +63,18 @@
         link.is_suspect = True  # the next job gets a connection of its own
         return link
 
+    def test_a_connection_that_waits_for_more_does_not_keep_its_last_answer(self) -> None:
+        """43 idle connections kept 10 MB of answers that had long been delivered, in no account."""
+        job, bodies = Job(b"a"), list[bytes]()
+        _, server = self.write_job(job)
+        job.on_answer = lambda reply, fields, body: bodies.append(body)  # type: ignore[method-assign]
+        server.sendall(resp.write_command(b"a", b"DONE", b"-", bytes(100_000)))
+        self.wait_until(lambda: bool(bodies))
+        for _ in range(3):
+            self.sched.run_once()
+        body = bodies.pop()
+        self.assertEqual(sys.getrefcount(body), 2)  # the name here, and the argument of the call
+
     def test_the_largest_partial_answer_is_given_up_once_all_room_is_used(self) -> None:
         link = self.send_partial_answer()
         self.assertEqual(link.stream.close_code, "")
