Charge all that a partly sent answer holds, and free one that was mostly sent

Only the rest was charged, but all of it stayed in memory until its last byte was sent, so 300 slow readers could hold up to 240 kB each with next to nothing in the account.

Change: the sent bytes of the first part count until they are free, and the rest of a part of which three quarters (and 32 kB) were sent is copied, which frees them.

--- a/hitchtiller/stream.py
+++ b/hitchtiller/stream.py
@@ -18,6 +18,8 @@
 # Errors of send and recv that pass: the kernel has no memory for buffers just now.
 SHORTAGES, SHORTAGE_DELAY_MS = frozenset((errno.ENOBUFS, errno.ENOMEM)), 10.0
 MAX_SEND_BUFFERS = 16  # passed to one sendmsg
+# The rest of a part is copied once so many bytes of it were sent, and so many times the rest.
+MIN_FREED_BYTES, COPY_RATIO = 32_768, 3
 # States of a connection, see tcp(7); in half closed ones (CLOSE_WAIT, LAST_ACK, CLOSING) the peer has closed
 # it. A system that only imitates connections may show CLOSE for all of them.
 TCP_ESTABLISHED, TCP_CLOSE, HALF_CLOSED_STATES = 1, 7, frozenset((8, 9, 11))
@@ -50,6 +52,7 @@
         self.holding, self.input_kind, self.output_kind = Holding(sched.account), input_kind, output_kind
         self.unsent: deque[memoryview] = deque()
         self.unsent_bytes = 0  # bytes in `unsent`
+        self.sent_part_bytes = 0  # bytes of the first part that were sent and are still held
         self.sent_bytes = self.acknowledged_bytes = (
             0  # handed to the kernel, and acknowledged at the last check
         )
@@ -156,7 +159,9 @@
         self._charge_unsent()
 
     def _charge_unsent(self) -> None:
-        self.holding.set(self.output_kind, self.unsent_bytes + PART_BYTES * len(self.unsent))
+        """Charge what is unsent, with the sent bytes of the first part: they stay until all of it is sent."""
+        size = self.unsent_bytes + self.sent_part_bytes + PART_BYTES * len(self.unsent)
+        self.holding.set(self.output_kind, size)
 
     def write_whole(self, data: bytes) -> bool:
         """Send all of `data`, parking while the socket accepts no more; False if it was closed first."""
@@ -238,7 +243,7 @@
     def discard_unsent(self) -> None:
         """Drop all unsent data; nothing meaningful can be written on the stream after that."""
         self.unsent.clear()
-        self.unsent_bytes = 0
+        self.unsent_bytes = self.sent_part_bytes = 0
         self._charge_unsent()
 
     def _send_unsent(self) -> None:
@@ -261,13 +266,26 @@
             self.unsent_bytes -= sent
             self.sent_bytes += sent
             self.last_progress_ms = now_ms()
-            while sent:
-                head = self.unsent[0]
-                if sent < len(head):
-                    self.unsent[0] = head[sent:]
-                    break
-                sent -= len(head)
-                self.unsent.popleft()
+            self._drop_sent(sent)
+
+    def _drop_sent(self, sent: int) -> None:
+        """Remove the next `sent` bytes from the unsent parts."""
+        while sent:
+            head = self.unsent[0]
+            if sent < len(head):
+                self._shorten_first_part(sent)
+                return
+            sent -= len(head)
+            self.unsent.popleft()
+            self.sent_part_bytes = 0
+
+    def _shorten_first_part(self, sent: int) -> None:
+        """Remove bytes from the first part; copy the rest of one that was mostly sent, to free the others."""
+        rest = self.unsent[0][sent:]
+        self.sent_part_bytes += sent
+        if self.sent_part_bytes >= MIN_FREED_BYTES and self.sent_part_bytes >= COPY_RATIO * len(rest):
+            rest, self.sent_part_bytes = memoryview(bytes(rest)), 0
+        self.unsent[0] = rest
 
     def _flush(self) -> None:
         while self.unsent and not self.close_code:
--- a/tests/test_sched.py
+++ b/tests/test_sched.py
@@ -8,6 +8,7 @@
 from functools import partial
 from unittest.mock import Mock, patch
 
+from hitchtiller.account import PART_BYTES, Kind
 from hitchtiller.bus import CATCH_UP_LIMIT_MS, BusLink
 from hitchtiller.sched import (
     MIN_CANCELLED_TIMERS,
@@ -202,6 +203,22 @@
                 self.sched.run_once()
             self.assertEqual((self.peer.recv(100), self.stream.close_code), (b"answer", ""))
 
+    def test_what_a_partly_sent_answer_still_holds_is_charged_and_mostly_sent_ones_are_freed(self) -> None:
+        """300 clients that had read half of an answer each made the process hold 17 MB in no account."""
+        body = bytes(range(256)) * 1_000
+        for sent_bytes in (100_000, 240_000):
+            stand_in = Mock(wraps=self.sock)
+            stand_in.send = Mock(side_effect=[sent_bytes, BlockingIOError])
+            self.stream.sock, self.stream.is_flushing = stand_in, False
+            self.stream.write(body)
+            part = self.stream.unsent[0]
+            self.assertEqual(bytes(part), body[sent_bytes:])
+            held_bytes = len(part.obj)  # type: ignore[arg-type]
+            self.assertEqual(self.stream.holding.get(Kind.OTHER_OUTPUT), held_bytes + PART_BYTES)
+            self.assertEqual(held_bytes, 256_000 if sent_bytes == 100_000 else 16_000)
+            self.stream.discard_unsent()
+            self.assertEqual(self.stream.holding.held_bytes, 0)
+
     def test_what_can_not_be_received_for_want_of_kernel_memory_is_read_later(self) -> None:
         received: list[bytes] = []
         self.fail("recv_into", errno.ENOBUFS, 3)
