Let go of a queued request before its task waits for the client to read

The same cause as in the connections to servers: the task that handles the queued requests of a client kept the last one, up to 64 kB, in a local name while it slept, and the bytes were in no account any more. 300 clients that read nothing could hold 19 MB so. The test failed before.

--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -346,6 +346,7 @@
                 self._handle_request(frame, arrived_ms)
             except frames.FrameError:
                 self.fail_all("bad-frame")
+            del frame  # its payload is not charged any more, and this task may be parked for long
         if not self.stream.close_code:
             self._close_if_done()
 
--- a/tests/ends/test_ends_memory.py
+++ b/tests/ends/test_ends_memory.py
@@ -1,6 +1,7 @@
 """Memory that clients make the gateway hold: who may hold how much, and that all of it is freed."""
 
 import contextlib
+import sys
 
 from sides import FrontCase, request_frame
 
@@ -202,6 +203,23 @@
         self.assertTrue(other.has_room(len(body)))
 
 
+class QueuedRequests(MemoryCase):
+    def test_a_task_that_waits_with_queued_requests_does_not_keep_the_last_one(self) -> None:
+        handled, may_write = list[frames.Frame](), True
+        self.client._handle_request = lambda frame, arrived_ms: handled.append(frame)  # type: ignore[method-assign]
+        self.client._reads_answers = lambda: may_write and not handled  # type: ignore[method-assign]
+        for stream in (1, 2):
+            frame = frames.Frame(frames.REQUEST, stream, bytes(WRITE_BYTES))
+            self.client.queued_requests[stream] = (frame, now_ms())
+        del frame
+        self.sched.spawn(self.client._process_queued)
+        self.wait_until(lambda: len(handled) == 1 and len(self.client.queued_requests) == 1)
+        self.sched.run_once()
+        frame = handled.pop()
+        may_write = False
+        self.assertEqual(sys.getrefcount(frame), 2)  # the name here, and the argument of the call
+
+
 class Release(MemoryCase):
     def test_an_open_request_is_charged_until_it_is_answered(self) -> None:
         self.send(write_frame(1))
