Do not drop or close a slow request while its rest waits in the kernel

Found by reading the deferral again. A deferred request has no input of its own, so it counted as stopped after 0.3 s and the first 2 KB of a steady slow writer were dropped for others; its request then failed.

One that is dropped ends its wait.

Result: two of the three new tests failed before; the third guards the timeout of a dropped one.

--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -29,7 +29,8 @@
 MAX_EXCESS_REQUESTS = 32  # consecutive requests above MAX_OPEN_REQUESTS that are refused before a disconnect
 BURST_BYTES = 1_024  # input that may hold many requests
 FRAMES_PER_TURN = 16  # a burst of hundreds of frames must not delay the other connections; 1 in a long turn
-MIN_DROP_BYTES = 1_024  # of a partial request: dropping less frees too little
+# Of a partial request, and of one whose rest is left in the kernel: dropping less frees too little.
+MIN_DROP_BYTES, MIN_DEFERRED_DROP_BYTES = 1_024, 8_192
 STOPPED_MS = 300.0  # without a byte: a partial request that is dropped before those that still grow
 MIN_IDLE_MS = 200.0  # before a drain closes a connection: a request may cross the GOING frame (type 3)
 PROBE_KEEP_MS = 1_000.0  # connections with readiness probes, which come 10 times per second, are kept
@@ -118,7 +119,7 @@
         self.is_deferred = True
         self.stream.wait_for_input(missing_bytes)
         self.arrived_ms = self.front.sched.earliest_arrival_ms
-        if not (self.stream.close_code or self.discards_input):
+        if not (self.stream.close_code or self.discards_input or self.reader.dropping):
             self._wait_for_room(missing_bytes + OPEN_REQUEST_BYTES)
         self.is_deferred = False
 
@@ -200,15 +201,26 @@
 
         The largest of those that have stopped goes first, then the largest of all.
         """
-        size = 0 if self.is_parsing else self.stream.holding.get(Kind.PARTIAL_REQUEST)
-        return size > MIN_DROP_BYTES and now - self.last_input_ms > STOPPED_MS, size
+        if not self._may_drop_partial():
+            return False, 0
+        grown_ms = self.last_input_ms
+        if self.is_deferred:  # the kernel has what came since
+            grown_ms = max(grown_ms, self.frame_timeout.progress_ms or 0.0)
+        return now - grown_ms > STOPPED_MS, self.stream.holding.get(Kind.PARTIAL_REQUEST)
+
+    def _may_drop_partial(self) -> bool:
+        """Return whether a partial request holds so much that dropping it frees enough."""
+        min_bytes = MIN_DEFERRED_DROP_BYTES if self.is_deferred else MIN_DROP_BYTES
+        return not self.is_parsing and len(self.reader.buffer) > min_bytes
 
     def drop_partial_request(self) -> bool:
         """Drop the bytes of a partial request, which then fails at its end; False if that frees little."""
-        if self.is_parsing or len(self.reader.buffer) <= MIN_DROP_BYTES:
+        if not self._may_drop_partial():
             return False
         self.reader.drop_partial()
         self._count_buffered()
+        if self.is_deferred:
+            self.stream.end_wait_for_input()
         return True
 
     def fail_all(self, code: str) -> None:
@@ -234,6 +246,12 @@
             return ""
         return "half" if self.has_sent_frame else "unasked"
 
+    def lacks_input(self) -> bool:
+        """Return whether what is unread can't complete the frame that is due."""
+        if self.is_deferred and not self.reader.dropping:
+            return self.stream.unread_bytes() < self.reader.missing_bytes
+        return not self.stream.has_input()
+
     def is_idle(self) -> bool:
         """Return whether no answer is pending, no close is under way and no input is unread or unhandled."""
         return (
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -122,7 +122,7 @@
                 if client.has_pending_answers() and not client.close_code:
                     client.close_when_done(code)
                 # Unread input may be the rest of the frame that it is waiting for.
-                elif client.close_code or client.is_deferred or not client.stream.has_input():
+                elif client.close_code or client.lacks_input():
                     client.stream.close(code)
 
     def relieve_memory(self, size: int = 0, only_stopped: bool = False) -> None:
--- a/tests/ends/test_ends_memory.py
+++ b/tests/ends/test_ends_memory.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import sys
+import time
 
 from sides import FrontCase, request_frame
 
@@ -9,7 +10,7 @@
 from hitchtiller.codec import frames
 from hitchtiller.front.asks import MAX_REQUEST_BYTES
 from hitchtiller.front.client import OPEN_REQUEST_BYTES
-from hitchtiller.front.frame_timeout import FRAME_TIMEOUT_MS
+from hitchtiller.front.frame_timeout import FRAME_TIMEOUT_MS, MAX_FRAME_MS
 from hitchtiller.ops.stats import Rejection
 from hitchtiller.sched import now_ms
 
@@ -115,6 +116,20 @@
         self.send(data[-1:])
         self.wait_until(lambda: self.engine.taken == [f"{1:016x}"])
 
+    def test_a_slow_request_that_is_deferred_is_not_dropped_for_others(self) -> None:
+        data = write_frame(1)
+        self.send(data[:-1])
+        self.wait_until(lambda: self.client.is_deferred and self.client.stream.unread_bytes() > 40_000)
+        self.client.last_input_ms -= 1_000.0
+        slow_socket, self.client_socket = self.client_socket, self.connect()
+        self.front.account.limit_bytes = 1_000
+        self.front.relieve_memory()
+        self.assertIsNone(self.client.reader.dropping)
+        self.front.account.limit_bytes = 80_000
+        self.client_socket = slow_socket
+        self.send(data[-1:])
+        self.wait_until(lambda: self.engine.taken == [f"{1:016x}"])
+
     def test_a_whole_request_waits_for_the_room_of_another(self) -> None:
         self.send(write_frame(1))
         self.wait_until(lambda: len(self.engine.taken) == 1)
@@ -142,6 +157,29 @@
         self.front.sweep(now + FRAME_TIMEOUT_MS + 1.0)
         self.wait_until(lambda: not self.front.clients)
 
+    def test_a_deferred_request_that_is_whole_is_not_closed_for_its_time(self) -> None:
+        data = write_frame(1)
+        self.send(data[:-1])
+        self.wait_until(lambda: self.client.is_deferred and self.client.stream.unread_bytes() > 40_000)
+        self.client_socket.sendall(data[-1:])  # the loop has not seen it yet
+        missing_bytes = self.client.reader.missing_bytes
+        while self.client.stream.unread_bytes() < missing_bytes:
+            time.sleep(0.001)
+        self.front.sweep(now_ms() + MAX_FRAME_MS + 1.0)
+        self.wait_until(lambda: self.engine.taken == [f"{1:016x}"])
+
+    def test_a_stopped_request_that_held_much_before_it_was_deferred_is_dropped_and_times_out(self) -> None:
+        self.front.account.limit_bytes = LIMIT_BYTES
+        self.send(write_frame(1)[:-10_000])
+        self.wait_until(lambda: self.held(Kind.PARTIAL_REQUEST) > 35_000)
+        self.front.account.limit_bytes = 60_000
+        self.send(bytes(100))  # makes the client look at its room again
+        self.wait_until(lambda: self.client.is_deferred)
+        self.front.relieve_memory(LIMIT_BYTES)
+        self.assertIsNotNone(self.client.reader.dropping)
+        self.front.sweep(now_ms() + MAX_FRAME_MS + 1.0)
+        self.wait_until(lambda: not self.front.clients)
+
     def test_a_deferred_request_that_grows_is_not_closed(self) -> None:
         data = write_frame(1)
         self.send(data[:30_000])
