--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -25,7 +25,7 @@
 MIN_ROUND_TRIP_SHARE = 0.05  # of the connect timeout: least time that a KILL or a close gets to arrive
 # Within this time a partial answer has to grow by this many bytes, or be complete.
 GROWTH_TIMEOUT_MS, MIN_GROWTH_BYTES = 400.0, 1_024
-MAX_READS_IN_A_ROW = 2  # in a long turn
+MAX_READS_IN_A_ROW = 8  # in a long turn
 
 
 class Link:
--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -24,7 +24,6 @@
     from hitchtiller.front.server import Front
 
 MAX_OPEN_REQUESTS = 32
-MANY_OPEN_REQUESTS = 8  # from here on a client waits for the others in a long turn
 HIGH_WATER_BYTES = 1_000_000  # unsent bytes above which new requests of the client wait (backpressure)
 MAX_EXCESS_REQUESTS = 32  # consecutive requests above MAX_OPEN_REQUESTS that are refused before a disconnect
 BURST_BYTES = 1_024  # input that may hold many requests
@@ -137,17 +136,15 @@
 
     def _read(self, max_bytes: int) -> bytes:
         """Wait for bytes, at most `max_bytes` unless it is 0; raise StreamClosed at the end of the stream."""
-        # Left-over data was there at an earlier poll already: its deadlines count from that one.
-        if self.stream.input_drained:
-            self.is_waiting = True
-            self.stream.wait_readable()
-            self.is_waiting = False
-            self.arrived_ms = self.front.sched.earliest_arrival_ms
-            if len(self.open_exchanges) >= MANY_OPEN_REQUESTS and self.front.sched.is_turn_long():
-                self.front.sched.pause()  # clients that ask for little go first
+        was_drained = self.stream.input_drained
+        self.is_waiting = True
         data = self.stream.read(max_bytes=max_bytes)
+        self.is_waiting = False
         if self.stream.input_drained:
             self.may_wait_for_room = True
+        # Left-over data was there at an earlier poll already: its deadlines count from that one.
+        if was_drained:
+            self.arrived_ms = self.front.sched.earliest_arrival_ms
         # After a long turn the end of the stream may already follow the requests in the socket buffer:
         # requests of a client that has disconnected are not started.
         if now_ms() - self.arrived_ms > LAG_LIMIT_MS and self.stream.peer_has_closed():
--- a/hitchtiller/stream.py
+++ b/hitchtiller/stream.py
@@ -108,12 +108,6 @@
             self.input_drained = received < size
             return bytes(memoryview(RECEIVE_BUFFER)[:received])
 
-    def wait_readable(self) -> None:
-        """Wait until there may be something to read, the end of the stream included."""
-        if self.input_drained and not self.close_code:
-            self.input_drained = False
-            self.sched.wait(self.fd, READ)
-
     def wait_for_input(self, size: int) -> None:
         """Wait until `size` bytes are unread in the kernel, or the stream has ended or is closed.
 
