--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,69 @@
+"""A bad client takes a request back and sends its id with another object: who gets foreign bytes?"""
+
+import random
+import sys
+import time
+from functools import partial
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "stand2"))
+from lab2 import TROUBLE, Bus, CannotRun, Case, Client, main, wait_for  # noqa: E402
+
+ROUNDS = 30
+SIZE, BYTES_PER_S = (
+    120_000,
+    4_000_000,
+)  # of one part, and of one answer: "a client is sent 3.8 to 12 MB a second"
+
+
+def has_pull(case: Case, name: str) -> bool:
+    """Return whether a request has reached a server."""
+    return any(pull.name == name for server in case.servers for pull in server.pulls)
+
+
+def play(case: Case) -> tuple[list[str], str]:
+    """Play the case; return how the rule was broken, and a summary."""
+    case.world.size = SIZE
+    for _ in range(2):
+        case.add_server("north", "box")
+    case.add_server("hub", "parent")
+    case.add_server("hub", "origin")
+    for server in case.servers:
+        server.bytes_per_s = BYTES_PER_S
+    bus = Bus(case)
+    gateway = case.start_gateway(bus)
+    gateway.wait_ready()
+    time.sleep(1.5)  # the bus is followed
+    sound, broken, served = Client(case, gateway.port), [], 0
+    bad = Client(case, gateway.port) if TROUBLE else None
+    for _ in range(ROUNDS):
+        first, second = random.getrandbits(64), random.getrandbits(64)
+        if bad:
+            if bad.is_over:
+                bad = Client(case, gateway.port)
+            taken_back = bad.ask("files", first, size_kb=SIZE / 1000)
+            if not wait_for(partial(has_pull, case, taken_back.id), 2.0):
+                raise CannotRun("the bad client's request did not reach a cache")
+            time.sleep(0.012)  # its answer is on its way now, which takes 30 ms
+            turned_away = bad.ask("files", second, size_kb=SIZE / 1000, id=taken_back.id)
+            turned_away.done.wait(0.005)
+            bad.give_up(taken_back)
+            again = bad.ask("files", second, size_kb=SIZE / 1000, id=taken_back.id)
+            again.done.wait(2.5)
+            case.note(f"bad client: {turned_away.word()}, then {again.word()}")
+        ask = sound.ask("files", second, size_kb=SIZE / 1000)
+        ask.done.wait(2.5)
+        if ask.code == 0:
+            served += 1
+            if ask.body != case.world.body(second, 0, 0):
+                whose = (
+                    "the bad client's first object" if ask.body == case.world.body(first, 0, 0) else "none"
+                )
+                broken.append(f"{ask.id} asked for o={second:016x} and was served the bytes of {whose}")
+    return (
+        broken,
+        f"{served} of {ROUNDS} requests of the sound client were served, {len(broken)} with foreign bytes",
+    )
+
+
+main(play, __file__)
