--- a/review/stand2/lab2.py
+++ b/review/stand2/lab2.py
@@ -132,8 +132,12 @@
         self.server, self.name, self.fields, self.body = server, name, fields, body
         self.arrived_ms = now_ms()
         self.killed = False
-        self.end = ""  # how it ended
-        self.since_ms = 0.0  # of the copy that it was answered with
+        self.end, self.ended_ms = "", math.inf  # how it ended, and when: its answer is written, or given up
+
+    def finish(self, end: str) -> None:
+        """Record the first end."""
+        if not self.end:
+            self.end, self.ended_ms = end, now_ms()
 
 
 class Server:
@@ -152,6 +156,7 @@
         self.behave: Callable[[Pull], str] = lambda pull: ""
         self.work_ms = 2.0
         self.bytes_per_s = 0  # the pace of one answer; 0: all at once
+        self.second_share, self.second_ms = 0.0, 8.0  # of its answers: a second copy comes so much later
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.port = int(self.listener.getsockname()[1])
         threading.Thread(target=self._accept, daemon=True).start()
@@ -184,10 +189,10 @@
                 threading.Thread(target=self._answer, args=(sock, lock, pull), daemon=True).start()
             elif items[0] == b"KILL" and (killed := open_pulls.get(items[1].decode())):
                 killed.killed = True
-                killed.end = killed.end or "killed"
+                killed.finish("killed")
         for pull in open_pulls.values():
             pull.killed = True
-            pull.end = pull.end or "connection ended"
+            pull.finish("connection ended")
         with contextlib.suppress(OSError):
             sock.close()
 
@@ -208,7 +213,6 @@
             word = "LACK"
             if copy:
                 version, since_ms = copy
-                pull.since_ms = since_ms
                 tag, word = self.case.world.tag(key, version), "DONE"
                 answer_fields = f"rev={tag},since={int(since_ms)}"
                 if fields.get("inm") == tag:
@@ -219,13 +223,17 @@
         with lock, contextlib.suppress(OSError):
             if pull.killed:
                 return
-            pull.end = word
             if self.bytes_per_s:  # an answer that has begun is sent to its end: its length has been told
                 for start in range(0, len(data), PIECE_BYTES):
                     sock.sendall(data[start : start + PIECE_BYTES])
                     time.sleep(PIECE_BYTES / self.bytes_per_s)
             else:
                 sock.sendall(data)
+            pull.finish(word)
+        if random.random() < self.second_share:
+            time.sleep(self.second_ms / 1000.0)
+            with lock, contextlib.suppress(OSError):
+                sock.sendall(data)
 
     def _copy(
         self, key: int, part: int, cap_ms: float, fresh_ms: float, may_fill: bool
