--- a/review/6/case.py
+++ b/review/6/case.py
@@ -34,7 +34,21 @@
     gateway = case.start_gateway(bus)
     gateway.wait_ready()
     time.sleep(1.5)  # the bus is followed
-    sound, broken, served = Client(case, gateway.port), [], 0
+    sound, later = Client(case, gateway.port), Client(case, gateway.port)
+    served, broken, objects = 0, list[str](), list[tuple[int, int]]()
+
+    def judge(client: Client, first: int, second: int) -> None:
+        nonlocal served
+        ask = client.ask("files", second, size_kb=SIZE / 1000)
+        ask.done.wait(2.5)
+        if ask.code != 0:
+            return
+        served += 1
+        if ask.body != case.world.body(second, 0, 0):
+            whose = "another object" if ask.body == case.world.body(first, 0, 0) else "no object"
+            how = "with a PULL" if has_pull(case, ask.id) else "without a PULL"
+            broken.append(f"{ask.id}, o={second:016x}: served the bytes of {whose} {how} of its own")
+
     bad = Client(case, gateway.port) if TROUBLE else None
     for _ in range(ROUNDS):
         first, second = random.getrandbits(64), random.getrandbits(64)
@@ -51,19 +65,12 @@
             again = bad.ask("files", second, size_kb=SIZE / 1000, id=taken_back.id)
             again.done.wait(2.5)
             case.note(f"bad client: {turned_away.word()}, then {again.word()}")
-        ask = sound.ask("files", second, size_kb=SIZE / 1000)
-        ask.done.wait(2.5)
-        if ask.code == 0:
-            served += 1
-            if ask.body != case.world.body(second, 0, 0):
-                whose = (
-                    "the bad client's first object" if ask.body == case.world.body(first, 0, 0) else "none"
-                )
-                broken.append(f"{ask.id} asked for o={second:016x} and was served the bytes of {whose}")
-    return (
-        broken,
-        f"{served} of {ROUNDS} requests of the sound client were served, {len(broken)} with foreign bytes",
-    )
+        judge(sound, first, second)
+        objects.append((first, second))
+    for first, second in objects:
+        judge(later, first, second)
+    summary = f"{served} of {2 * ROUNDS} requests of two sound clients were served"
+    return broken, f"{summary}, {len(broken)} with foreign bytes"
 
 
 main(play, __file__)
