Fail an id that is used again with another object, and match no late answer to it

Callers saw: a client was served the whole bytes of another object, and so was every later one, until the copy was purged or evicted.

Cause: an answer is matched to an attempt by connection and id. A taken-back id was free at once, and its next PULL goes behind the KILL on the same connection, where the answer that the KILL missed was read as the answer to the new PULL. The tiers stored it under the new object.

The new test of the links showed the second job ended with DONE in place of skipped. Seven of the new tests failed on the code before.

Change: a request whose id was lately used with another question is failed as `reused` (front/recent_requests.py). A command that asks something else is not written under a killed name to that server (back/killed_questions.py, no I/O). A repeat of the same request goes behind its KILL as before; an answer from before a purge no longer ends a repeat that was written after it.

Why it works: what tells two attempts under one id apart is what they ask. Sound clients give each request a new id, so they meet neither.

--- a/hitchtiller/back/jobs.py
+++ b/hitchtiller/back/jobs.py
@@ -52,6 +52,7 @@
     reassignments: int  # how often it was moved to another connection before it was written
     process_is_certain: bool  # set before `command`: the connection leads to the listed process
     repeatable: bool  # a late second answer may safely be matched to the next job of this name
+    question: int  # equal for jobs that ask the same
 
     def command(self) -> bytes | None:
         """Return the bytes, just before the first one is sent; None if it may not be sent any more."""
@@ -59,6 +60,9 @@
     def on_sent(self) -> None:
         """Handle that the last byte was sent."""
 
+    def is_answered_by(self, reply: str, fields: dict[str, str]) -> bool:
+        """Return whether an answer fits that may belong to a killed job which asked the same."""
+
     def on_answer(self, reply: str, fields: dict[str, str], body: bytes) -> None:
         """Handle the answer; raise resp.RespError for one that no valid server sends."""
 
@@ -78,6 +82,8 @@
         self.due_ms, self.reassignments, self.process_is_certain = math.inf, 0, True
         self.name = attempt.exchange.request.id.encode()
         self.repeatable = attempt.exchange.request.repeatable
+        self.question = attempt.exchange.request.question(attempt.exchange.confirm_tag)
+        self.purged_ms = -math.inf  # latest purge of the object that was known when it was written
 
     def command(self) -> bytes | None:
         """Return the PULL with the values known only now: the remaining time and the oldest accepted copy."""
@@ -88,6 +94,7 @@
             attempt.abort("skipped")
             return None
         attempt.written = True
+        self.purged_ms = limits.purged_ms
         self.due_ms = now_ms() + attempt.get.overdue_ms if attempt.get.overdue_ms else math.inf
         request, get = attempt.exchange.request, attempt.get
         ttl = max(1, int(limits.ttl_ms))
@@ -110,6 +117,11 @@
         """Report that the command was sent completely."""
         self.attempt.on_sent()
 
+    def is_answered_by(self, reply: str, fields: dict[str, str]) -> bool:
+        """Return whether an answer fits: a copy from before a known purge is that of an earlier attempt."""
+        since = fields.get("since", "")
+        return not ORIGIN_TIME_PATTERN.match(since) or int(since) > self.purged_ms
+
     def on_answer(self, reply: str, fields: dict[str, str], body: bytes) -> None:
         """End the attempt with the status that the routing decisions use."""
         status, request = STATUS_BY_REPLY.get(reply, ""), self.attempt.exchange.request
@@ -154,7 +166,7 @@
         """Call `on_report` once with a status and the server's load report."""
         self.name = b"m%x" % number
         self.due_ms, self.reassignments, self.repeatable = math.inf, 0, True
-        self.process_is_certain = True
+        self.process_is_certain, self.question = True, 0
         self.on_report = on_report
 
     def command(self) -> bytes:
@@ -165,6 +177,10 @@
     def on_sent(self) -> None:
         """Ignore it: only attempts are counted."""
 
+    def is_answered_by(self, reply: str, fields: dict[str, str]) -> bool:
+        """Return True: no two probes have the same name."""
+        return True
+
     def on_answer(self, reply: str, fields: dict[str, str], body: bytes) -> None:
         """Report the server's load."""
         self.on_report("done" if reply == "FIT" else "err", resp.read_report(fields.get("rep", "")))
--- a/hitchtiller/back/link.py
+++ b/hitchtiller/back/link.py
@@ -12,6 +12,7 @@
 
 from hitchtiller.account import Kind
 from hitchtiller.back.jobs import Job
+from hitchtiller.back.killed_questions import KilledQuestions
 from hitchtiller.back.recent_names import RecentNames
 from hitchtiller.codec import resp
 from hitchtiller.log import log_connection_end
@@ -54,6 +55,7 @@
         self.open_jobs: dict[bytes, Job] = {}
         # Times by name. An answer to a killed job, or a second answer to an effect, may still be on its way.
         self.killed_jobs, self.answered_effects = RecentNames(), RecentNames()
+        self.killed_questions = KilledQuestions()
         self.abandoned_jobs: dict[bytes, float] = {}  # open when this gateway closed the connection
         self.reader = resp.RespReader()
         # When a partial answer last grew by MIN_GROWTH_BYTES, and its growth since then.
@@ -90,6 +92,10 @@
         # matched to its next attempt.
         return not (name in self.open_jobs or name in self.queued_names or name in self.answered_effects)
 
+    def may_confuse(self, job: Job) -> bool:
+        """Return whether an answer to a killed job, which asked something else, may be taken for its own."""
+        return not self.killed_questions.allows(job.name, job.question, now_ms(), self.reader.in_array)
+
     def submit(self, job: Job) -> None:
         """Queue a job to be written after those before it."""
         self.queue.append(job)
@@ -105,6 +111,7 @@
         elif self.open_jobs.get(name) is job:
             del self.open_jobs[name]
             self.killed_jobs.remember(name, now_ms())
+            self.killed_questions.record_kill(name, job.question, now_ms(), self.reader.in_array)
             job.block_until(now_ms() + (self.connect_ms if self.stream.unsent_bytes else self.round_trip_ms))
             if self.writing and self.writing[0] is job:
                 # Half of its command was sent, so neither a KILL nor another command can follow.
@@ -192,10 +199,15 @@
         if len(items) != resp.ANSWER_ITEMS:
             raise resp.RespError(f"answer has {len(items)} items")
         name, reply, fields_text, body = items
-        job = self.open_jobs.pop(name, None)
+        job = self.open_jobs.get(name)
         if job is None:
             self.killed_jobs.pop(name, None)  # the answer crossed the KILL, or belongs to no job
+            self.killed_questions.record_answer(name)
+            return
+        if self._belongs_to_killed(job, reply, fields_text):
+            self.killed_questions.record_answer(name)
             return
+        del self.open_jobs[name]
         self.answered_count += 1
         if not job.repeatable:
             self.answered_effects.remember(job.name, now_ms())
@@ -216,6 +228,16 @@
         if self.is_retired and not self.open_jobs:
             raise StreamClosed("spoiled")
 
+    def _belongs_to_killed(self, job: Job, reply: bytes, fields_text: bytes) -> bool:
+        """Return whether an answer can only belong to a killed job of this name, not to the open one."""
+        if not self.killed_questions.may_answer(job.name):
+            return False
+        try:
+            fields = resp.read_fields(fields_text)
+        except resp.RespError:
+            return False  # handled with the open job
+        return not job.is_answered_by(reply.decode("ascii", "replace"), fields)
+
     def _write(self) -> None:
         has_polled = False
         while not self.stream.close_code and not self.is_retired:
--- a/hitchtiller/back/upstreams.py
+++ b/hitchtiller/back/upstreams.py
@@ -54,6 +54,8 @@
         kill_links = [each for each in self.links if each.killed_jobs.holds(name, now)]
         if self.abandoned_jobs.holds(name, now) or len(kill_links) > 1:
             return job.on_connection_end("skipped")
+        if any(each.may_confuse(job) for each in self.links):
+            return job.on_connection_end("skipped")  # another question under an id that was given up
         if kill_links:
             return (
                 kill_links[0].submit(job) if kill_links[0].accepts(name) else job.on_connection_end("skipped")
--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -400,7 +400,8 @@
             return None
         self.effects.begin(request.class_name, request.dedupe, node.member, now, attempt.process_is_certain)
         self.request_ids.begin(request.class_name, request.id)
-        return SendLimits(cap, request.deadline_ms - now)
+        purged_ms = self.router.purges.latest(request.key, request.group)
+        return SendLimits(cap, request.deadline_ms - now, purged_ms)
 
     def _claim(self, request: ClientRequest, member: api.Member, now: float) -> bool:
         """Return whether an effect may begin as far as its id and the other process of an upgrade tell.
--- a/hitchtiller/exchange.py
+++ b/hitchtiller/exchange.py
@@ -4,6 +4,7 @@
 router chooses a server. Each attempt ends with one `AttemptResult`, and each exchange with one `Answer`.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -33,6 +34,14 @@
     repeatable: bool = True  # requests of its class may be repeated without harm
     write: bool = False  # runs at the origin: its answer is not a copy and has neither a tag nor a time
 
+    def question(self, tag: str = "") -> int:
+        """Return a hash of all that decides what a right answer is: equal for requests that ask the same.
+
+        `tag` is that of the copy which a server is asked to compare with, by default the client's own.
+        """
+        asked = (self.class_name, self.object, self.part, self.group, self.dedupe, self.body)
+        return hash((*asked, tag or self.client_tag))
+
 
 @dataclass(slots=True)
 class Answer:
@@ -67,6 +76,7 @@
 
     max_age_ms: float  # maximum age of the copy that the server may answer with; 0 for no bound
     ttl_ms: float  # time until the deadline
+    purged_ms: float = -math.inf  # latest known purge of the object: an answer from before it is too old
 
 
 class Attempt:
--- a/hitchtiller/front/client.py
+++ b/hitchtiller/front/client.py
@@ -376,8 +376,12 @@
         except RequestError as error:  # an invalid request is never forwarded
             return self._reject(stream, FAILED, Rejection.INVALID, error.class_name)
         is_new = stream != 0 and self.stream_numbers.claim(stream)
-        # A cache must not get the same request id twice at the same time.
-        if not is_new or self.front.engine.has_request(request.id):
+        # A cache must not get the same request id twice at the same time, nor with another question while an
+        # answer to the first may be under way.
+        is_reused = self.front.engine.has_request(request.id) or self.front.recent_requests.asks_otherwise(
+            request, now_ms()
+        )
+        if not is_new or is_reused:
             return self._reject(stream, FAILED, Rejection.REUSED, request.class_name, request.id)
         self.accepted_count += 1
         is_full = len(self.open_exchanges) >= MAX_OPEN_REQUESTS
@@ -387,6 +391,7 @@
         cost = OPEN_REQUEST_BYTES + len(request.body)
         if reason := self._refusal_reason(is_full, cost, arrived_ms):
             return self._reject(stream, REFUSED, reason, request.class_name, request.id)
+        self.front.recent_requests.remember(request, now_ms())
         exchange = self.front.engine.accept(request, partial(self._on_answer, stream), self)
         if not exchange.is_over:
             self.open_exchanges[stream] = exchange
--- a/hitchtiller/front/server.py
+++ b/hitchtiller/front/server.py
@@ -13,6 +13,7 @@
 from hitchtiller.engine import Engine
 from hitchtiller.front.client import Client
 from hitchtiller.front.leave import HANDED_OVER, SERVING, DrainControl
+from hitchtiller.front.recent_requests import RecentRequests
 from hitchtiller.front.room import RoomQueue
 from hitchtiller.log import log_connection_end
 from hitchtiller.ops.stats import Rejection
@@ -42,6 +43,7 @@
         self.account.limit_bytes = max_buffered_bytes
         self.clients: set[Client] = set()
         self.room_queue = RoomQueue(sched)
+        self.recent_requests = RecentRequests()
         self.state = SERVING
         self.refusing = False  # new requests are refused
         self.leave = DrainControl(self)
--- a/tests/crowd/test_crowd.py
+++ b/tests/crowd/test_crowd.py
@@ -28,6 +28,11 @@
     run(behaviour, seconds=4.0)
 
 
+def test_ids_used_again_with_another_object_never_change_what_others_are_served() -> None:
+    """The answer to a request that was taken back was stored as a copy of another object."""
+    run("reuse", 20, 4.0)
+
+
 def test_one_connection_at_full_speed_under_new_names_neither_grows_memory_nor_delays_others() -> None:
     result = run("flood", 1, 5.0)
     assert result.longest_wait_ms < LONGEST_WAIT_MS, result
--- a/tests/ends/test_ends_clients.py
+++ b/tests/ends/test_ends_clients.py
@@ -10,6 +10,7 @@
 
 from hitchtiller.codec import frames
 from hitchtiller.front.client import MAX_EXCESS_REQUESTS, MAX_OPEN_REQUESTS
+from hitchtiller.ops.stats import Rejection
 from hitchtiller.sched import PAUSED_SHARE_S, now_ms
 
 
@@ -138,3 +139,44 @@
         self.front.sweep(late_ms)
         self.wait_until(lambda: len(self.engine.taken) == 1)
         self.engine.answer(0, b"x")
+
+
+class ReusedIds(FrontCase):
+    """A request id that comes again: each request has an id of its own (PROTOCOL, clients to gateways)."""
+
+    def test_one_that_was_taken_back_is_failed_if_it_asks_for_another_object(self) -> None:
+        """It was sent to a server that may still have been answering the first request under the same id."""
+        self.client_socket.sendall(request_frame(1, i="a" * 16) + give_up_frame(1))
+        self.wait_until(lambda: bool(self.engine.left))
+        self.client_socket.sendall(request_frame(2, i="A" * 16, o="0" * 16))
+        self.assertEqual(self.read_answer().payload[0], frames.FAILED)
+        self.assertEqual(len(self.engine.taken), 1)
+        self.assertEqual(self.engine.stats.rejections, {Rejection.REUSED: 1})
+
+    def test_one_that_was_taken_back_is_accepted_if_it_asks_for_the_same(self) -> None:
+        self.client_socket.sendall(request_frame(1, i="a" * 16) + give_up_frame(1))
+        self.wait_until(lambda: bool(self.engine.left))
+        self.client_socket.sendall(request_frame(2, i="a" * 16))
+        self.wait_until(lambda: len(self.engine.taken) == 2)
+
+    def test_one_whose_client_closed_its_connection_is_failed_on_another_connection(self) -> None:
+        self.client_socket.sendall(request_frame(1, i="a" * 16))
+        self.wait_until(lambda: len(self.engine.taken) == 1)
+        self.client_socket.close()
+        self.wait_until(lambda: bool(self.engine.left))
+        self.client_socket = self.connect()
+        self.client_socket.sendall(request_frame(1, i="a" * 16, o="0" * 16))
+        self.assertEqual(self.read_answer().payload[0], frames.FAILED)
+
+    def read_answer(self) -> frames.Frame:
+        """Return the next frame that the gateway sends."""
+        reader, received = frames.FrameReader(), list[frames.Frame]()
+        self.client_socket.setblocking(False)
+
+        def has_frame() -> bool:
+            with contextlib.suppress(BlockingIOError):
+                received.extend(reader.feed(self.client_socket.recv(65_536)))
+            return bool(received)
+
+        self.wait_until(has_frame, "there is no answer")
+        return received[0]
--- a/tests/ends/test_ends_links.py
+++ b/tests/ends/test_ends_links.py
@@ -200,6 +200,75 @@
         self.write_job(repeat)
 
 
+class ReusedIds(LinkCase):
+    """An id that was given up comes again with another question: no client may get the first one's bytes."""
+
+    def write_killed(self) -> tuple[Link, socket.socket, Job]:
+        """Write a job and give it up while its answer is under way."""
+        first = Job(b"a", question=1)
+        link, server = self.write_job(first)
+        server.sendall(resp.write_command(b"a", b"DONE", b"-", b"first")[:-4])
+        self.wait_until(lambda: link.reader.in_array)
+        link.cancel(first)
+        return link, server, first
+
+    def submit(self, question: int) -> Job:
+        job = Job(b"a", question=question)
+        self.pool.submit(job)
+        self.sched.run_once()
+        return job
+
+    def send_rest(self, link: Link, server: socket.socket) -> None:
+        server.sendall(resp.write_command(b"a", b"DONE", b"-", b"first")[-4:])
+        self.wait_until(lambda: not link.reader.in_array)
+
+    def test_a_late_answer_of_a_killed_job_does_not_end_one_that_asks_for_another_object(self) -> None:
+        """It was served as the second object, and stored as its copy for all other clients."""
+        link, server, _ = self.write_killed()
+        other = self.submit(question=2)
+        self.send_rest(link, server)
+        self.assertEqual(other.statuses, ["skipped"], "which means that it never ran")
+
+    def test_it_does_not_end_one_after_another_answer_either(self) -> None:
+        """The same id three times: the second's own answer was still to come when the third was sent."""
+        link, server, _ = self.write_killed()
+        repeat = self.submit(question=1)
+        self.wait_until(lambda: link.open_jobs.get(b"a") is repeat)
+        self.send_rest(link, server)
+        self.wait_until(lambda: repeat.statuses == ["DONE"])
+        self.assertEqual(self.submit(question=2).statuses, ["skipped"])
+
+    def test_a_second_copy_of_a_late_answer_does_not_end_one_either(self) -> None:
+        link, server, _ = self.write_killed()
+        self.send_rest(link, server)
+        self.assertEqual(self.submit(question=2).statuses, ["skipped"])
+
+    def test_the_end_of_the_connection_frees_the_id(self) -> None:
+        link, server, _ = self.write_killed()
+        server.close()
+        self.wait_until(lambda: bool(link.stream.close_code))
+        self.assertFalse(any(each.may_confuse(Job(b"a", question=2)) for each in self.pool.links))
+
+    def test_a_repeat_of_the_same_question_is_sent_at_once_on_the_same_connection(self) -> None:
+        """What a sound client or the gateway repeats neither waits nor costs a connection."""
+        link, _, _ = self.write_killed()
+        repeat = self.submit(question=1)
+        self.wait_until(lambda: link.open_jobs.get(b"a") is repeat)
+        self.assertEqual((repeat.statuses, len(self.pool.links)), ([], 1))
+
+    def test_a_late_answer_that_does_not_fit_a_repeat_leaves_it_open(self) -> None:
+        """A copy from before a purge, made for the killed job, was served for one written after the purge."""
+        link, server, _ = self.write_killed()
+        repeat = self.submit(question=1)
+        repeat.fits = False
+        self.wait_until(lambda: link.open_jobs.get(b"a") is repeat)
+        self.send_rest(link, server)
+        self.wait_until(lambda: not link.killed_questions.may_answer(b"a"))
+        self.assertEqual(repeat.statuses, [])
+        server.sendall(resp.write_command(b"a", b"DONE", b"-", b"own"))
+        self.wait_until(lambda: repeat.statuses == ["DONE"])
+
+
 class Answers(LinkCase):
     def test_a_trickling_answer_closes_the_connection(self) -> None:
         """Each byte counted as progress: all jobs of the connection waited for their deadlines."""
--- a/tests/test_back.py
+++ b/tests/test_back.py
@@ -20,6 +20,7 @@
 
     def __init__(self, name: bytes = b"1", due_ms: float = 1e18) -> None:
         self.name, self.due_ms, self.reassignments, self.repeatable = name, due_ms, 0, True
+        self.question = 0
         self.statuses: list[str] = []
 
     def command(self) -> bytes:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -184,6 +184,16 @@
             self.announce(api.Member(server, member.zone, member.kind, "DRAINING", weight=member.weight))
             self.assertIsNone(attempt.authorize(attempt))
 
+    def test_a_late_answer_from_before_a_purge_does_not_fit_an_attempt_after_it(self) -> None:
+        """The answer of an earlier attempt of the same id, written before the purge, ended the next one."""
+        job = PullJob(self.start_request(group=3))
+        self.engine.submit(api.Purged(42, -1, 100.0))
+        self.assertIsNotNone(job.command())
+        purged_ms = int(self.clock.now - 100.0)
+        for since, fits in ((purged_ms - 1, False), (purged_ms, False), (purged_ms + 1, True)):
+            self.assertEqual(job.is_answered_by("DONE", {"rev": "t", "since": str(since)}), fits)
+        self.assertTrue(job.is_answered_by("LACK", {}))
+
     def test_the_age_bound_includes_a_purge_that_came_before_the_first_byte(self) -> None:
         attempt = self.start_request(group=3)
         limits = attempt.authorize(attempt)
