Tell effects with any name of the settings to the other process of an upgrade

Callers saw: where the name of the zone had an accent, the old process of an upgrade did not heed SIGTERM.

Cause: the lines about keyed effects were encoded as ASCII, with names parted by spaces. UnicodeEncodeError is no OSError, so it ended the task that watches for a successor, and SIGTERM's, which polls first. With a space in a name nothing ended, but the reader skipped the line.

Of the new tests, two failed before: the one with such names by UnicodeEncodeError.

Change: `ops/effect_lines.py` (no I/O) writes plain names as before and others as a JSON object in ASCII, which older versions skip; lines of older versions with spaces in their names are read. The other test that failed before: after half a write the next line continued the torn one, and both were lost; it begins anew now.

--- a/hitchtiller/ops/shared_effects.py
+++ b/hitchtiller/ops/shared_effects.py
@@ -4,9 +4,8 @@
 before the first byte of an attempt whose effect may not simply be repeated, and reads those of the others.
 Each writes its line before it reads, so that two processes can't both miss the other's attempt.
 
-The first line is the number of the file, the others are `id ID` or `key CLASS KEY FIRST_SENT_MS ZONE CELL`,
-with a time of the monotonic clock: the wall clock may step between the starts of two processes.
-Half a line is not read until the rest is there, and a line that can't be read is skipped.
+The first line is the number of the file; `ops/effect_lines.py` has the form of the others. Half a line is
+not read until the rest is there, and a line that can't be read is skipped.
 
 Bounds. Above MAX_FILE_BYTES a new file is written from the tables of this process, which are bounded.
 """
@@ -17,9 +16,9 @@
 from pathlib import Path
 
 from hitchtiller.log import logger
+from hitchtiller.ops import effect_lines
 from hitchtiller.routing.effects import Effects, UnconfirmedEffect
 from hitchtiller.routing.request_ids import RequestIds
-from hitchtiller.sched import from_monotonic_ms, to_monotonic_ms
 
 PREFIX = "effects-"
 MAX_FILE_BYTES = 1_000_000
@@ -38,6 +37,7 @@
         self.positions: dict[str, tuple[bytes, int]] = {}
         self.files_written = 0
         self.has_failed = False  # the folder has failed, and that was logged
+        self.is_torn = False  # the own file may end in half a line
 
     @property
     def is_active(self) -> bool:
@@ -66,11 +66,11 @@
 
     def publish_id(self, id: str) -> None:
         """Tell the others that an attempt under an id is about to begin."""
-        self._append(f"id {id}\n")
+        self._append(effect_lines.id_line(id))
 
     def publish_key(self, class_name: str, key: str, effect: UnconfirmedEffect) -> None:
         """Tell the others that an attempt of a keyed effect is about to begin."""
-        self._append(_key_line(class_name, key, effect))
+        self._append(effect_lines.key_line(class_name, key, effect))
 
     def read_others(self) -> None:
         """Read what the others have told since the last call."""
@@ -89,8 +89,8 @@
                 continue
             end = data.rfind(b"\n") + 1
             self.positions[name] = (header, offset + end)
-            for line in data[:end].decode("ascii", "replace").splitlines():
-                self._learn(line.split(" "))
+            for line in data[:end].split(b"\n"):
+                self._learn(line)
 
     def close(self) -> None:
         """Stop telling; the file stays for the others, which remove it once they have read it."""
@@ -104,14 +104,14 @@
     def _open(self) -> None:
         """Write all that this process knows to a new file, in place of the one there is."""
         self.files_written += 1
-        lines = [f"{self.files_written:0{HEADER_BYTES - 1}}\n"]
-        lines += [f"id {number:016x}\n" for number in self.request_ids.attempts]
-        lines += [_key_line(*name, effect) for name, effect in self.effects.unconfirmed.items()]
+        lines = [b"%0*d\n" % (HEADER_BYTES - 1, self.files_written)]
+        lines += [effect_lines.id_line(f"{number:016x}") for number in self.request_ids.attempts]
+        lines += [effect_lines.key_line(*name, effect) for name, effect in self.effects.unconfirmed.items()]
         hidden_path = self.path.with_name(f".{self.path.name}")
         descriptor = -1
         try:
             descriptor = os.open(hidden_path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
-            _write(descriptor, "".join(lines).encode("ascii"))
+            _write(descriptor, b"".join(lines))
             hidden_path.rename(self.path)
         except OSError as error:
             self._log_failure(error)
@@ -120,27 +120,27 @@
             return
         if self.is_active:
             os.close(self.file_descriptor)
-        self.file_descriptor = descriptor
+        self.file_descriptor, self.is_torn = descriptor, False
 
-    def _append(self, line: str) -> None:
+    def _append(self, line: bytes) -> None:
         if not self.is_active:
             return
         try:
             if os.fstat(self.file_descriptor).st_size > MAX_FILE_BYTES:
                 self._open()
-            _write(self.file_descriptor, line.encode("ascii"))
+            # The line feed ends half a line that a failed write has left: this line must not continue it.
+            _write(self.file_descriptor, b"\n" + line if self.is_torn else line)
+            self.is_torn = False
         except OSError as error:
+            self.is_torn = True
             self._log_failure(error)
 
-    def _learn(self, words: list[str]) -> None:
-        with contextlib.suppress(ValueError):
-            match words:
-                case ["id", id]:
-                    self.request_ids.learn(id)
-                case ["key", class_name, key, first_sent_ms, zone, cell]:
-                    sent_ms = from_monotonic_ms(float(first_sent_ms))
-                    effect = UnconfirmedEffect(sent_ms, zone, int(cell), attempts=1)
-                    self.effects.learn(class_name, key, effect)
+    def _learn(self, line: bytes) -> None:
+        match effect_lines.read_line(line):
+            case effect_lines.ToldId(id):
+                self.request_ids.learn(id)
+            case effect_lines.ToldKey(class_name, key, effect):
+                self.effects.learn(class_name, key, effect)
 
     def _log_failure(self, error: OSError) -> None:
         if not self.has_failed:
@@ -148,11 +148,6 @@
             logger.warning("effects can't be shared with the other version: {}", error.strerror or error)
 
 
-def _key_line(class_name: str, key: str, effect: UnconfirmedEffect) -> str:
-    sent_ms = to_monotonic_ms(effect.first_sent_ms)
-    return f"key {class_name} {key} {sent_ms} {effect.zone} {effect.cell}\n"
-
-
 def _write(descriptor: int, data: bytes) -> None:
     """Write all of it; OSError if that fails."""
     while data:
--- a/tests/ends/test_ends_effects.py
+++ b/tests/ends/test_ends_effects.py
@@ -263,6 +263,37 @@
         self.shared[1].read_others()
         self.assertTrue(self.ids[1].may_have_run("c" * 16))
 
+    def test_names_outside_of_ascii_and_with_spaces_are_told(self) -> None:
+        """UnicodeEncodeError ended the task that watches for a successor, and SIGTERM's (review/9)."""
+        for table in self.effects:
+            table.classes["pago rápido\n"] = ZONE_SCOPED
+        self.effects[0].begin("pago rápido\n", "k1", replace(HERE, zone="mérida del río"), 100.0)
+        self.meet()
+        later = UnconfirmedEffect(200.0, "mérida del río", 3)
+        self.shared[0].publish_key("pago rápido\n", "k2", later)
+        self.shared[1].read_others()
+        told = self.effects[1].unconfirmed
+        self.assertEqual(
+            [(key, effect.zone) for (_, key), effect in told.items()],
+            [("k1", "mérida del río"), ("k2", "mérida del río")],
+        )
+
+    def test_a_line_after_half_a_write_is_not_lost(self) -> None:
+        """The disk was full in the middle of a line, and the next line continued it: nobody could read it."""
+        self.meet()
+        write = shared_effects.os.write
+
+        def half_write(descriptor: int, data: bytes) -> int:
+            shared_effects.os.write = write
+            write(descriptor, data[:5])
+            raise OSError(errno.ENOSPC, "no space")
+
+        with patch.object(shared_effects.os, "write", half_write):
+            self.shared[0].publish_id("d" * 16)
+            self.shared[0].publish_id("e" * 16)
+        self.shared[1].read_others()
+        self.assertTrue(self.ids[1].may_have_run("e" * 16))
+
     def test_the_file_is_bounded_and_loses_nothing_that_the_tables_hold(self) -> None:
         self.meet()
         with patch.object(shared_effects, "MAX_FILE_BYTES", 2_000):
