Read the configuration as UTF-8 in any locale

Callers saw: with LC_ALL=C and without Python's UTF-8 mode a gateway whose zone has an accent did not start: "not JSON: 'ascii' codec can't decode". In a Latin-1 locale the names would be read as others.

Cause: the file was decoded by the locale, while JSON files are UTF-8.

Change: the encoding is named. Result: the new test, which starts Python in such a locale, failed before.

--- a/hitchtiller/config.py
+++ b/hitchtiller/config.py
@@ -51,7 +51,7 @@
     if not path:
         raise ConfigError("BALANCER_CONFIG is not set")
     try:
-        data = json.loads(Path(path).read_text())
+        data = json.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except ValueError as error:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -26,6 +26,22 @@
         self.assertEqual((config.name, config.listen, config.streams), ("n7", ("127.0.0.1", 7100), 32))
         self.assertEqual([number for number, _ in config.known], [1, 1])
 
+    def test_the_file_is_read_as_utf_8_in_any_locale(self) -> None:
+        """With LC_ALL=C and without Python's UTF-8 mode, a zone with an accent ended the start."""
+        code = "import os, hitchtiller.config as c; print(ascii(c.read_config(os.environ).zones))"
+        config = json.loads(EXAMPLE.read_text())
+        config["settings"]["localities"][1] = config["settings"]["my_zone"] = "mérida"
+        config["known"] = {}
+        with tempfile.NamedTemporaryFile("w", suffix=".json", encoding="utf-8") as file:
+            json.dump(config, file, ensure_ascii=False)
+            file.flush()
+            env = {"LC_ALL": "C", "PYTHONUTF8": "0", "PYTHONCOERCECLOCALE": "0", "BALANCER_CONFIG": file.name}
+            command = [sys.executable, "-c", code]
+            completed = subprocess.run(
+                command, cwd=ROOT, env=env, capture_output=True, text=True, check=False
+            )
+        self.assertIn(ascii("mérida"), completed.stdout, completed.stderr)
+
     def test_an_error_names_what_is_wrong(self) -> None:
         cases: list[tuple[dict[str, Any], str]] = [
             ({"seed": "xyz"}, "xyz"),
