Write no copy to disk whose class has a longer name than a record holds

Callers saw: one answer of a class with a name of more than 128 bytes made the whole disk tier read-only.

Cause: `write_record` rejects such a name in the thread that writes, and the tier took that for a write error of the folder ("write-EIO").

Change: `Disk.put` drops such a copy and counts it; the memory tier keeps it.

--- a/hitchtiller/store/disk.py
+++ b/hitchtiller/store/disk.py
@@ -114,7 +114,7 @@
         era_known = part.epoch <= self.log.saved_proof.epoch
         if (
             self.closed
-            or not (self.health.can_write and era_known)
+            or not (self.health.can_write and era_known and fmt.has_room_for_texts(part))
             or self.unwritten_bytes + size > self.options.queue_bytes
         ):
             self.counts.dropped += 1
--- a/hitchtiller/store/format.py
+++ b/hitchtiller/store/format.py
@@ -106,6 +106,11 @@
     return SegmentHead(id, salt, created_ms)
 
 
+def has_room_for_texts(part: Part) -> bool:
+    """Return whether a record can hold the class name and the tag of a part."""
+    return max(len(part.class_name.encode()), len(part.tag.encode())) <= MAX_TEXT_BYTES
+
+
 def write_record(part: Part, body: bytes, salt: int, offset: int) -> bytes:
     """Return a part's record for one place in one segment, padded to ALIGN."""
     name, tag = part.class_name.encode(), part.tag.encode()
--- a/tests/store/test_store_disk.py
+++ b/tests/store/test_store_disk.py
@@ -36,6 +36,16 @@
     return disk
 
 
+def test_a_copy_whose_class_has_a_very_long_name_is_not_written_and_others_are() -> None:
+    """The write failed, and the disk tier took the folder for a bad one."""
+    files = SimFiles(random.Random(1))
+    disk = open_disk(files)
+    assert not disk.put(part(1, class_name="c" * 200, epoch=disk.log.saved_proof.epoch), b"x")
+    assert disk.health.can_write and disk.counts.dropped == 1
+    assert put(disk, 2)
+    assert hash_part(2, 0) in disk
+
+
 def put(disk: Disk, key: int, size: int = 1000, since: float = START) -> bytes:
     body = make_body(key, 0, 0, size)
     assert disk.put(part(key, since=int(since), epoch=disk.proof.epoch), body)
