Keep names with line feeds within their lines of statistics and log

Callers saw: with a line feed in the name of a class, its figures of `show-stat` and its lines of the log were parted, and the rest of the name stood in a line of its own.

Cause: names were written as they are.

Change: `log.printable` escapes names with characters that can't be printed; all others stay as they were.

--- a/hitchtiller/log.py
+++ b/hitchtiller/log.py
@@ -10,7 +10,7 @@
 from types import ModuleType
 from typing import Any
 
-__all__ = ["closes", "log_connection_end", "logger", "start"]
+__all__ = ["closes", "log_connection_end", "logger", "printable", "start"]
 
 closes: Counter[str] = Counter()  # ended connections of this process by "SIDE.CODE"
 
@@ -45,6 +45,11 @@
     logger.configure(extra={"node": name})
 
 
+def printable(name: str) -> str:
+    """Return a name of the settings as one line: with escapes if it has characters like line feeds."""
+    return name if name.isprintable() else name.encode("unicode_escape").decode("ascii")
+
+
 def log_connection_end(side: str, peer: str, code: str, detail: str = "", **counts: int) -> None:
     """Log that a connection has ended, with its reason code and counts."""
     closes[f"{side}.{code}"] += 1
--- a/hitchtiller/ops/request_log.py
+++ b/hitchtiller/ops/request_log.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 
-from hitchtiller.log import logger
+from hitchtiller.log import logger, printable
 
 LINES_PER_S, BURST_LINES = 5.0, 20.0
 NO_ID = "-"  # the request could not be read
@@ -24,7 +24,9 @@
 
     def record_rejection(self, id: str, class_name: str, kind: str, reason: str) -> None:
         """Log that a request was refused or failed, and why."""
-        self._write("request {} {} reason={} class={}", id or NO_ID, kind, reason, class_name or NO_ID)
+        self._write(
+            "request {} {} reason={} class={}", id or NO_ID, kind, reason, printable(class_name) or NO_ID
+        )
 
     def record_retry(self, id: str, attempt: int, server: str, status: str) -> None:
         """Log a further attempt of a request: its number from 0, its server, how the one before it ended."""
--- a/hitchtiller/ops/stats.py
+++ b/hitchtiller/ops/stats.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 from enum import StrEnum
 
-from hitchtiller.log import closes
+from hitchtiller.log import closes, printable
 
 PREFIX = "svc"
 ANSWER_KINDS = ("served", "refused", "failed")
@@ -75,7 +75,7 @@
     def lines(self) -> list[str]:
         """Return all statistics, one line each."""
         counted = {
-            f"{kind}.{name}": n
+            f"{kind}.{printable(name)}": n
             for name, answer_counts in self.answer_counts.items()
             for kind, n in answer_counts.items()
         }
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -30,7 +30,7 @@
 from hitchtiller.ops.control import MAX_CALL_BYTES, MAX_CALLERS, CallError
 from hitchtiller.ops.holdouts import FILE_NAME, HoldOuts
 from hitchtiller.ops.sign import READY, STARTING, ProcessMarker
-from hitchtiller.ops.stats import ANSWER_KINDS
+from hitchtiller.ops.stats import ANSWER_KINDS, Stats
 from hitchtiller.ops.upgrade import Upgrade
 from hitchtiller.peers import Peers
 from hitchtiller.sched import Scheduler
@@ -240,6 +240,13 @@
         self.assertEqual((first[:3], last), ("+OK", "."))
         return dict(line.removeprefix("svc.").split(":") for line in lines)
 
+    def test_each_figure_is_one_line_whatever_the_name_of_its_class(self) -> None:
+        """A line feed in the name of a class parted its figures, and the tools could not read them."""
+        lines = Stats(["dos\r\nlíneas", "una línea", "\ud800"]).lines()
+        self.assertTrue(all(len(line.splitlines()) == 1 for line in lines))
+        self.assertIn("svc.served.una línea:0|c", lines)
+        "\n".join(lines).encode()
+
     def test_known_traffic_gives_exact_statistics(self) -> None:
         """Requests refused before the decisions count too; those of clients that left do not."""
         cache, name = self.open_request()
--- a/tests/test_request_log.py
+++ b/tests/test_request_log.py
@@ -21,6 +21,15 @@
         self.texts.append(text.format(*values))
 
 
+def test_a_class_with_a_line_feed_in_its_name_stays_in_its_line() -> None:
+    """The rest of the name stood in a line of its own, which looked like another one of the log."""
+    lines = Lines()
+    with patch("hitchtiller.ops.request_log.logger.info", lines.write):
+        lines.log.record_rejection("00ab", "dos\nlíneas", "refused", "memory")
+        lines.log.record_rejection("00ab", "una línea", "refused", "memory")
+    assert [text.partition("class=")[2] for text in lines.texts] == ["dos\\nl\\xedneas", "una línea"]
+
+
 def test_a_refusal_is_told_with_its_id_and_reason_and_a_retry_with_what_ended_before_it() -> None:
     lines = Lines()
     lines.reject()
