--- a/hitchtiller/back/upstreams.py
+++ b/hitchtiller/back/upstreams.py
@@ -42,44 +42,46 @@
         self.closed = False
 
     def submit(self, job: Job) -> None:
-        """Queue a job on a lightly loaded connection, else on a new one, else on the first with room."""
-        # An id that was given up is sent only on the connection that carries its KILL: on another one the new
-        # PULL may overtake the KILL, and the server would hold the id twice. The same applies to the close of
-        # a connection. A server that hangs reads neither until it resumes, so the id is not sent to it again.
-        # A server that sent malformed data still reads: a connection opened now is established only after
-        # the close has arrived.
-        name, link, busy_link, now = job.name, None, None, now_ms()
+        """Queue a job on a connection, or end it if none of them may carry it now."""
+        now = now_ms()
         if self.closed:
             return job.on_connection_end("econnrefused")  # its process is gone
-        kill_links = [each for each in self.links if each.killed_jobs.holds(name, now)]
-        if self.abandoned_jobs.holds(name, now) or len(kill_links) > 1:
+        if self._may_confuse(job, now):
             return job.on_connection_end("skipped")
-        if any(each.may_confuse(job) for each in self.links):
-            return job.on_connection_end("skipped")  # another question under an id that was given up
-        if kill_links:
-            return (
-                kill_links[0].submit(job) if kill_links[0].accepts(name) else job.on_connection_end("skipped")
-            )
-        new_only = self.abandoned_after_junk.holds(name, now, self.upstreams.timeouts[0])
-        for each in () if new_only else self.links:
-            if (
-                link is None
-                and each.is_connected
-                and len(each.open_jobs) + len(each.queued_names) < SPREAD_JOBS
-                and each.has_room(name)
-            ):
-                link = each
-            elif busy_link is None and each.has_room(name):
-                busy_link = each  # answers on one connection are read together, which saves CPU under load
-        if link is None:
-            # Several connections keep one reset from ending all attempts; idle ones close by themselves.
-            new_link = self.upstreams.open(self) if self._may_open(busy_link is None) else None
-            link = busy_link or new_link
-        if link is None:
+        link = self._link_with_kill(job, now) or self._choose_link(job, now)
+        if link is None or not link.accepts(job.name):
             # a limit of this gateway, for which the server is not to be blamed
-            job.on_connection_end("skipped")
-        else:
-            link.submit(job)
+            return job.on_connection_end("skipped")
+        link.submit(job)
+
+    def _may_confuse(self, job: Job, now: float) -> bool:
+        """Return whether the server might hold the job's id twice, or its answer be taken for another's."""
+        # A server that hangs reads neither a KILL nor a close until it resumes, so the id is not sent to it
+        # again on another connection.
+        with_kill = [link for link in self.links if link.killed_jobs.holds(job.name, now)]
+        return (
+            self.abandoned_jobs.holds(job.name, now)
+            or len(with_kill) > 1
+            or any(link.may_confuse(job) for link in self.links)
+        )
+
+    def _link_with_kill(self, job: Job, now: float) -> Link | None:
+        """Return the connection with the KILL of the job's id: on another one it might be overtaken."""
+        return next((link for link in self.links if link.killed_jobs.holds(job.name, now)), None)
+
+    def _choose_link(self, job: Job, now: float) -> Link | None:
+        """Return a lightly loaded connection, else a new one, else the first with room, if there is one."""
+        # A server that sent malformed data still reads: a connection opened now is established only after
+        # the close has arrived.
+        new_only = self.abandoned_after_junk.holds(job.name, now, self.upstreams.timeouts[0])
+        usable = [] if new_only else [link for link in self.links if link.has_room(job.name)]
+        light = (link for link in usable if link.is_connected and link.job_count() < SPREAD_JOBS)
+        if link := next(light, None):
+            return link
+        # Several connections keep one reset from ending all attempts; idle ones close by themselves.
+        new_link = self.upstreams.open(self) if self._may_open(is_needed=not usable) else None
+        # answers on one connection are read together, which saves CPU under load
+        return usable[0] if usable else new_link
 
     def _may_open(self, is_needed: bool) -> bool:
         if self.closed or self.upstreams.link_count >= self.upstreams.max_links:
