Let SIGTERM end the process also if the entry of the stop fails

Cause: the timer that ends the loop was set behind these three, by the stop itself.

Change: `ProcessStop` (ops/stop.py) is what SIGTERM and SIGINT start. `_shutdown_times` that fails is replaced by the longest times.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -29,6 +29,7 @@
 from hitchtiller.ops.shared_effects import SharedEffects
 from hitchtiller.ops.sign import ProcessMarker
 from hitchtiller.ops.stats import Stats
+from hitchtiller.ops.stop import ProcessStop
 from hitchtiller.ops.upgrade import Upgrade
 from hitchtiller.peers import Peers
 from hitchtiller.reload import Reload
@@ -183,7 +184,15 @@
     add_memory_gauges(engine.stats, sched.account)
     sched.keep_running(log_figures, sched, engine, back)
     reload = Reload(config, os.environ, bus.move)
-    Signals(sched, {signal.SIGTERM: upgrade.stop, signal.SIGINT: upgrade.stop, signal.SIGHUP: reload})
+    stop = ProcessStop(
+        sched,
+        (
+            ("the stop with a look for a successor", upgrade.stop),
+            ("the stop of the front", front.leave.stop),
+            ("the plain stop", front.leave.stop_without_clients),
+        ),
+    )
+    Signals(sched, {signal.SIGTERM: stop, signal.SIGINT: stop, signal.SIGHUP: reload})
     sched.keep_running(collect_garbage, sched)
     sched.keep_running(guard.run)
     logger.info("serving on {}:{}, {} sockets, {} MB", host, port, config.sockets, config.memory_mb)
--- a/hitchtiller/front/leave.py
+++ b/hitchtiller/front/leave.py
@@ -31,6 +31,15 @@
 MOVED = "moved"  # reason code of connections whose clients go to the next version
 
 
+def times_until_kill(started_ms: float, deadline_ms: float) -> tuple[float, float]:
+    """Return until when answers are awaited, and when the process exits: before it may be killed.
+
+    `started_ms` is the time of SIGTERM and `deadline_ms` the longest deadline of a request.
+    """
+    kill_ms = started_ms + min(deadline_ms, MAX_DEADLINE_MS) + KILL_GRACE_MS
+    return kill_ms - LAST_ANSWERS_MS - EXIT_MARGIN_MS, kill_ms - EXIT_MARGIN_MS
+
+
 class DrainControl:
     """Drains, hands over or stops a front."""
 
@@ -117,7 +126,7 @@
         started_ms = now_ms()
         front.state = STOPPING
         logger.info("told to stop")
-        answer_ms, exit_ms = self._shutdown_times(started_ms)
+        answer_ms, exit_ms = self._shutdown_times_or_longest(started_ms)
         self.sched.later(exit_ms + FORCED_END_MS - started_ms, self._force_end)
         if is_sole_listener:
             self.sched.sleep(ACCEPT_GRACE_MS)
@@ -138,13 +147,30 @@
             self.sched.sleep(10.0)
         self._end_loop("stop")
 
+    def stop_without_clients(self) -> None:
+        """Stop in the plainest way, where `stop` fails: wait for the open requests, then end the loop."""
+        self.front.state = STOPPING
+        started_ms = now_ms()
+        self.sched.sleep(ACCEPT_GRACE_MS + REQUEST_GRACE_MS)
+        answer_ms, _ = times_until_kill(started_ms, MAX_DEADLINE_MS)
+        while self.front.engine.open_exchanges and now_ms() < answer_ms:
+            self.sched.sleep(CHECK_INTERVAL_MS)
+        self._end_loop("stop")
+
+    def _shutdown_times_or_longest(self, started_ms: float) -> tuple[float, float]:
+        """Return the times of the stop; those of the longest deadline if the settings can't be read."""
+        try:
+            return self._shutdown_times(started_ms)
+        except Exception:  # noqa: BLE001  the stop has to go on
+            logger.exception("the times of the stop are unknown; the longest ones are used")
+            return times_until_kill(started_ms, MAX_DEADLINE_MS)
+
     def _shutdown_times(self, started_ms: float) -> tuple[float, float]:
-        """Return until when answers are awaited, and when the process exits: before it may be killed."""
+        """Return the times of `times_until_kill` for the longest deadline of the settings."""
         deadline_ms = max(
             (cls.deadline_ms for cls in self.front.settings.classes.values()), default=MAX_DEADLINE_MS
         )
-        kill_ms = started_ms + min(deadline_ms, MAX_DEADLINE_MS) + KILL_GRACE_MS
-        return kill_ms - LAST_ANSWERS_MS - EXIT_MARGIN_MS, kill_ms - EXIT_MARGIN_MS
+        return times_until_kill(started_ms, deadline_ms)
 
     def _close_idle(self, final: bool = False) -> None:
         """Close each connection without a pending answer.
--- a/tests/crowd/test_failing_calls.py
+++ b/tests/crowd/test_failing_calls.py
@@ -41,6 +41,7 @@
     "hitchtiller.front.client:Client.send_going": 1,
     "hitchtiller.front.client:Client.is_idle": 1,
     "hitchtiller.front.leave:DrainControl._shutdown_times": 1,
+    "hitchtiller.front.leave:DrainControl.stop": 1,
     "hitchtiller.ops.upgrade:Upgrade.stop": 1,
 }
 
