Serve no own copy once a purge of it may count as told unheard

Cause: a copy counted as proven while the epoch of the store had not changed, however long ago the bus was heard. Joined requests, answers waiting for the link, copies on disk and within their grace went by the same.

Change: `discovery/heartbeats.py` tells as of when all events are known, from the count of heartbeats since the subscription, as a frame may be late. `routing/unheard.py` bounds the use of a copy by it, or by the answer that brought the copy. Past the bound a request goes to a server, joined; the epoch is not raised. Attempts carry an age limit only where servers drop purged copies too late to be asked for.

--- a/hitchtiller/__main__.py
+++ b/hitchtiller/__main__.py
@@ -151,7 +151,7 @@
     folder = shared_folder(os.environ.get("TMPDIR", ""))
     holdouts = HoldOuts(folder, engine.on_bus_event, config.settings.origin_kind)
     bus = BusLink(sched, holdouts.on_bus_event, config.bus, (config.zones, config.kinds))
-    engine.may_lack_events = bus.may_lack_events
+    engine.may_lack_events, engine.unheard_ms = bus.may_lack_events, bus.unheard_ms
     front = Front(
         sched, engine, config.settings, clients, buffer_bytes(config.memory_mb, two_processes=False)
     )
--- a/hitchtiller/bus.py
+++ b/hitchtiller/bus.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from hitchtiller.codec.bus import BusError, BusReader, NumberedEvent
+from hitchtiller.discovery.heartbeats import HeartbeatCount
 from hitchtiller.log import log_connection_end, logger
 from hitchtiller.news import Event
 from hitchtiller.sched import Scheduler, now_ms
@@ -39,6 +40,7 @@
         self.has_subscribed = self.is_caught_up = False
         self.started_ms = now_ms()
         self.last_frame_ms = -math.inf  # when the last complete frame came
+        self.known_until_ms = -math.inf  # all events that were in the bus at this time have been received
         self.on_caught_up: Callable[[], None] | None = None  # called when no older events are left to come
 
     def may_lack_events(self) -> bool:
@@ -50,6 +52,13 @@
         resumed_ms = self.sched.resumed_ms
         return resumed_ms > self.last_frame_ms and now_ms() - resumed_ms < CATCH_UP_LIMIT_MS
 
+    def unheard_ms(self) -> float:
+        """Return the time in milliseconds since all events were known; infinite before the first heartbeat.
+
+        Events that came into the bus since then may not have been received yet.
+        """
+        return now_ms() - self.known_until_ms
+
     def is_followed(self, whole: bool) -> bool:
         """Return whether the bus is followed; with `whole`, whether it has sent all older events."""
         # An unreachable bus must not keep the gateway out of service. The list in the configuration file only
@@ -87,9 +96,10 @@
                 continue
             try:
                 stream.connect(address, CONNECT_MS)
+                heartbeats = HeartbeatCount(now_ms())
                 stream.write(self.last_number.to_bytes(8, "big"))
                 self.has_subscribed = True
-                self._read_events(stream)
+                self._read_events(stream, heartbeats)
             except (StreamClosed, BusError) as error:
                 stream.close(str(error) if isinstance(error, StreamClosed) else "junk")
             finally:
@@ -99,7 +109,7 @@
             if stream.close_code != "moved" and self.last_number == last:
                 self.sched.sleep(RETRY_DELAY_MS)
 
-    def _read_events(self, stream: Stream) -> None:
+    def _read_events(self, stream: Stream, heartbeats: HeartbeatCount) -> None:
         reader, last_whole_ms = BusReader(*self.name_lists), now_ms()
         while True:
             # Detects a bus that hangs within an event: only whole frames extend the wait, not single bytes.
@@ -107,6 +117,15 @@
             for numbered in reader.feed(data):
                 last_whole_ms = self.last_frame_ms = now_ms()
                 self.apply(numbered)
-                self.is_caught_up = self.is_caught_up or numbered[1] is None
-                if numbered[1] is None and self.on_caught_up:
-                    self.on_caught_up()
+                if numbered[1] is None:
+                    self._on_heartbeat(heartbeats)
+
+    def _on_heartbeat(self, heartbeats: HeartbeatCount) -> None:
+        """Handle a heartbeat: every event before it has been received."""
+        now = now_ms()
+        self.is_caught_up = True
+        self.known_until_ms = max(self.known_until_ms, heartbeats.record(now))
+        if self.on_caught_up:
+            self.on_caught_up()
+        if heartbeats.needs_renewal(now):
+            raise StreamClosed("renewed")
--- a/hitchtiller/engine.py
+++ b/hitchtiller/engine.py
@@ -31,6 +31,7 @@
 from hitchtiller.ops.stats import Rejection, Stats
 from hitchtiller.routing.effects import Effects, UnconfirmedEffect
 from hitchtiller.routing.request_ids import RequestIds
+from hitchtiller.routing.unheard import UnheardPurges
 
 
 class Timer(Protocol):
@@ -136,6 +137,8 @@
         self.effects = Effects(router.settings.classes)
         self.request_ids = RequestIds(router.settings.classes)
         self.shared_effects: EffectSharing | None = None  # with the other process of an upgrade
+        self.unheard_purges = UnheardPurges.of(router.settings)
+        self.unheard_ms: Callable[[], float] = float  # time since all events of the bus were known
         self.may_lack_events: Callable[[], bool] = bool  # whether bus events may have been missed
         self.purge_listeners: list[Callable[[PurgeNotice], object]] = []
         self.on_final_answer: Callable[[Exchange, Answer], None] | None = None  # called for each final answer
@@ -398,6 +401,8 @@
             cap = self.copies.limit_age(attempt.exchange, cap)
         if cap is None:
             return None
+        if not request.write:
+            cap = attempt.max_age_ms = self.unheard_purges.limit_age(cap, self.unheard_ms())
         self.effects.begin(request.class_name, request.dedupe, node.member, now, attempt.process_is_certain)
         self.request_ids.begin(request.class_name, request.id)
         purged_ms = self.router.purges.latest(request.key, request.group)
@@ -439,7 +444,14 @@
         if result.status == "done" and self.copies:
             result = self.copies.on_result(attempt, result)
         if result.status == "done" and not exchange.is_over:
-            answer = Answer(SERVED, result.body, result.unchanged, result.tag, since_ms=result.since_ms)
+            answer = Answer(
+                SERVED,
+                result.body,
+                result.unchanged,
+                result.tag,
+                since_ms=result.since_ms,
+                usable_until_ms=result.usable_until_ms,
+            )
             self.finish(exchange, answer)
         self.submit(
             api.Outcome(
--- a/hitchtiller/exchange.py
+++ b/hitchtiller/exchange.py
@@ -53,6 +53,7 @@
     tag: str = ""
     wait_ms: float = 0.0  # delay before the client should retry a refused request
     since_ms: int = 0  # when the origin sent the copy; 0 if the answer is not a copy
+    usable_until_ms: float = -math.inf  # as of `AttemptResult`
 
 
 @dataclass(slots=True)
@@ -68,6 +69,8 @@
     note: int = 0  # as in api.Outcome: 1 hit, 2 filled ...; 0 if not reported
     waited_ms: float = 0.0  # time that the server waited for the first byte of its source, if reported
     silent: bool = False  # "econnrefused" because connecting timed out: the process itself may be alive
+    # Until then a copy of it may be used even if the event bus is not heard, by `now_ms`.
+    usable_until_ms: float = -math.inf
 
 
 @dataclass(slots=True)
@@ -84,7 +87,7 @@
 
     __slots__ = (
         "authorize", "ended", "exchange", "get", "on_end", "on_sent", "back_end_handle", "sent_ms", "index",
-        "cancel_timer", "written", "process_is_certain",
+        "cancel_timer", "written", "process_is_certain", "max_age_ms",
     )  # fmt: skip
 
     def __init__(
@@ -103,6 +106,7 @@
         self.cancel_timer: Callable[[], None] | None = None  # cancels the timer of its timeout
         self.back_end_handle: Any = None  # set and read by the server side only
         self.process_is_certain = True  # its connection leads to the process that the list names
+        self.max_age_ms = 0.0  # of the copy that the server may answer with; 0 for no bound
         self.written = False  # its first byte was sent, so the server may have executed it
         self.ended = False
         exchange.attempts.append(self)
--- a/hitchtiller/store/join.py
+++ b/hitchtiller/store/join.py
@@ -5,6 +5,7 @@
 servers as often as clients request it.
 """
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -25,6 +26,7 @@
     request_number: int
     client_tag: str
     newer_than_ms: float  # a copy must be from after this: the last purge known when the request came
+    asked_ms: float  # when the request came, by `now_ms`
 
 
 @dataclass(slots=True)
@@ -59,12 +61,19 @@
                 part_hash, request_number, client_tag
             )
 
-    def join(self, request_number: int, part_hash: int, client_tag: str, newer_than_ms: float) -> bool:
+    def join(
+        self,
+        request_number: int,
+        part_hash: int,
+        client_tag: str,
+        newer_than_ms: float,
+        asked_ms: float = -math.inf,
+    ) -> bool:
         """Wait for a flight; return False if there is none whose answer this client could use."""
         flight = self.flights.get(part_hash)
         if flight is None or (flight.client_tag and flight.client_tag != client_tag):
             return False  # a leader whose client holds a copy may get an answer without the body
-        flight.waiters[request_number] = Waiter(request_number, client_tag, newer_than_ms)
+        flight.waiters[request_number] = Waiter(request_number, client_tag, newer_than_ms, asked_ms)
         self.flights_by_waiter[request_number] = flight
         self.joined += 1
         return True
@@ -94,20 +103,24 @@
         if flight := self.flights_by_waiter.pop(request_number, None):
             del flight.waiters[request_number]
 
-    def end_served(self, request_number: int, since_ms: float) -> list[tuple[NextStep, int]]:
+    def end_served(
+        self, request_number: int, since_ms: float, usable_until_ms: float = math.inf
+    ) -> list[tuple[NextStep, int]]:
         """End a leader's flight with an answer; return the next step of each waiter.
 
-        A copy from before a purge known to a waiter is not served to that waiter. Such waiters continue as a
-        flight of their own, led by the first of them.
+        A copy from before a purge known to a waiter is not served to that waiter, nor one that requests may
+        only be served until `usable_until_ms`, before it came. Such waiters continue as a flight of their
+        own, led by the first of them.
         """
         flight = self._end_flight(request_number)
         if flight is None:
             return []
-        servable = [waiter for waiter in flight.waiters.values() if since_ms > waiter.newer_than_ms]
-        too_early = [waiter for waiter in flight.waiters.values() if since_ms <= waiter.newer_than_ms]
-        return [(NextStep.SERVE, waiter.request_number) for waiter in servable] + self._start_next_flight(
-            flight, too_early, 0
-        )
+        servable, others = list[Waiter](), list[Waiter]()
+        for waiter in flight.waiters.values():
+            is_servable = since_ms > waiter.newer_than_ms and waiter.asked_ms < usable_until_ms
+            (servable if is_servable else others).append(waiter)
+        steps = [(NextStep.SERVE, waiter.request_number) for waiter in servable]
+        return steps + self._start_next_flight(flight, others, 0)
 
     def end_failed(self, request_number: int) -> list[tuple[NextStep, int]]:
         """End a leader's flight without an answer: it failed, its client left, or its time is over.
--- a/hitchtiller/store/memory.py
+++ b/hitchtiller/store/memory.py
@@ -19,6 +19,7 @@
 
     part: Part
     body: bytes
+    usable_until_ms: float = -math.inf  # even if the event bus is not heard; by `now_ms`
 
 
 class Memory:
@@ -50,14 +51,17 @@
         """Record a request for a part that is not stored; the first one of an owner may evict copies."""
         self._remove(self.shares.miss(owner, part_hash))
 
-    def put(self, owner: str, part: Part, body: bytes) -> bool:
-        """Offer a copy and remove what it evicts; return whether it was admitted."""
+    def put(self, owner: str, part: Part, body: bytes, usable_until_ms: float = -math.inf) -> bool:
+        """Offer a copy and remove what it evicts; return whether it was admitted.
+
+        `usable_until_ms` is that of `Copy`.
+        """
         part_hash = hash_part(part.key, part.part)
         self.copies.pop(part_hash, None)
         self.shares.drop(part_hash)
         evicted = self.shares.offer(owner, part_hash, len(body) + OVERHEAD_BYTES)
         if part_hash not in evicted:
-            self.copies[part_hash] = Copy(part, body)
+            self.copies[part_hash] = Copy(part, body, usable_until_ms)
         self._remove(evicted)
         return part_hash in self.copies
 
--- a/hitchtiller/store/plan.py
+++ b/hitchtiller/store/plan.py
@@ -25,6 +25,7 @@
     FRESH = "fresh"  # may be served
     STALE = "stale"  # past its fresh time, within its grace: served only if nothing better is available
     SUSPECT = "suspect"  # may be served after a server has confirmed it
+    UNHEARD = "unheard"  # the same: a purge of it may count as told, as the event bus is not heard
     DEAD = "dead"  # may never be served again
 
 
--- a/hitchtiller/store/tier.py
+++ b/hitchtiller/store/tier.py
@@ -13,6 +13,7 @@
 from hitchtiller.exchange import REFUSED, SERVED, Answer, Attempt, AttemptResult, Exchange
 from hitchtiller.log import logger
 from hitchtiller.news import PurgeNotice
+from hitchtiller.routing.unheard import spread
 from hitchtiller.store.disk import STALL_MS, Disk, monotonic_ms
 from hitchtiller.store.format import Part
 from hitchtiller.store.index import hash_part
@@ -51,13 +52,16 @@
         self.confirms_suspects = confirm
         self.purges = Purges()
         self.rules = CopyRules(engine.router.settings.classes, self.purges, proof)
+        self.unheard = engine.unheard_purges
+        self.spread_salt = hash_part(engine.router.settings.my_number, 0)
+        self.is_unheard = False  # copies were found that can't be used as the event bus is not heard
         self.joins = Joins(engine.router.settings.max_attempts)
         self.sketch = Sketch(1 << 16)
         self.disk: Disk | None = None
         # By request number: a copy to be confirmed by a server, or to be served if no server can answer.
         self.fallback_copies: dict[int, Copy] = {}
         self.hits = {"memory": 0, "disk": 0, "joined": 0, "stale": 0}
-        self.confirmed = self.refuted = self.misses = self.slow_link = 0
+        self.confirmed = self.refuted = self.misses = self.slow_link = self.unheard_copies = 0
         self.epoch = proof.epoch
         engine.copies = self
         self._publish()
@@ -77,7 +81,7 @@
         self.sketch.add(part_hash)
         copy = self.memory.get(request.key, request.part)
         if copy and self.rules.matches(copy.part, request):
-            state = self.rules.copy_state(copy.part, now_ms)
+            state = self._copy_state(copy, exchange)
             if state is CopyState.FRESH:
                 self._write_to_disk(copy.part, copy.body, part_hash)
                 return self._serve(exchange, copy, "memory")
@@ -89,6 +93,7 @@
             part_hash,
             request.client_tag,
             self.purges.last_purge_ms(request.key, request.group),
+            exchange.accepted_ms,
         ):
             wait_ms = self.rules.max_join_wait_ms(request, self.engine.clock.now_ms())
             self.engine.clock.later(wait_ms, partial(self._on_join_timeout, exchange))
@@ -112,31 +117,43 @@
         """Store the received part, and add the body of a confirmed copy for a client that holds none."""
         exchange, now_ms = attempt.exchange, self.engine.clock.wall_ms()
         self.check_clock(now_ms)
+        request = exchange.request
+        result.usable_until_ms = self.unheard.answer_until_ms(
+            attempt.sent_ms, attempt.max_age_ms, self._spread(request.key, request.part)
+        )
         if result.unchanged:
             return self._on_unchanged(exchange, result, now_ms)
         old_copy = self.fallback_copies.pop(exchange.number, None)
-        part = self.rules.part_to_store(exchange.request, result, now_ms)
+        part = self.rules.part_to_store(request, result, now_ms)
         if old_copy and old_copy.part.tag != result.tag:
             self.refuted += old_copy.part.epoch != self.proof.epoch
             self._drop(hash_part(old_copy.part.key, old_copy.part.part))
         if part:
-            self._store(part, result.body)
+            self._store(part, result.body, result.usable_until_ms)
         return result
 
     def _on_unchanged(self, exchange: Exchange, result: AttemptResult, now_ms: float) -> AttemptResult:
         """Handle a KEEP answer, which confirms the client's copy, this gateway's copy, or both."""
         copy, request = self.fallback_copies.pop(exchange.number, None), exchange.request
         own_copy_matches = copy is not None and copy.part.tag == result.tag
-        if copy and own_copy_matches and self.proof.confirms(result.since_ms, now_ms):
+        if copy and own_copy_matches and self._is_confirmed(copy, result, now_ms):
             part = copy.part
             confirmed_part = Part(
                 part.key, part.part, part.group, part.class_name, result.since_ms, part.tag, self.proof.epoch
             )
             if self.rules.copy_state(confirmed_part, now_ms) is CopyState.FRESH:
                 self.confirmed += 1
-                self._store(confirmed_part, copy.body)
+                self._store(confirmed_part, copy.body, result.usable_until_ms)
                 if not request.client_tag:
-                    return AttemptResult("done", copy.body, False, result.tag, result.load, result.since_ms)
+                    return AttemptResult(
+                        "done",
+                        copy.body,
+                        False,
+                        result.tag,
+                        result.load,
+                        result.since_ms,
+                        usable_until_ms=result.usable_until_ms,
+                    )
         if request.client_tag:
             return result
         # Prevents serving an unconfirmed copy: the answer has no body, and the gateway's own copy is not
@@ -146,13 +163,14 @@
         self._drop(hash_part(request.key, request.part))
         return AttemptResult("err", load=result.load)
 
+    def _is_confirmed(self, copy: Copy, result: AttemptResult, now_ms: float) -> bool:
+        """Return whether a KEEP answer proves a copy: one from before a gap only if it is from after it."""
+        return copy.part.epoch == self.proof.epoch or self.proof.confirms(result.since_ms, now_ms)
+
     def fallback(self, exchange: Exchange, answer: Answer) -> Answer:
         """Return a copy within its grace time in place of a refusal or a failure, if there is one."""
         copy = self.fallback_copies.get(exchange.number)
-        if copy is None or self.rules.copy_state(copy.part, self.engine.clock.wall_ms()) not in (
-            CopyState.FRESH,
-            CopyState.STALE,
-        ):
+        if copy is None or self._copy_state(copy, exchange) not in (CopyState.FRESH, CopyState.STALE):
             return answer
         self.hits["stale"] += 1
         return self._answer(exchange, copy)
@@ -175,8 +193,9 @@
                 answer.tag,
                 self.proof.epoch,
             )
-            copy = Copy(part, answer.body)
-            for next_step, waiter_number in self.joins.end_served(number, answer.since_ms):
+            copy = Copy(part, answer.body, answer.usable_until_ms)
+            usable_until_ms = self._usable_until_ms(copy)
+            for next_step, waiter_number in self.joins.end_served(number, answer.since_ms, usable_until_ms):
                 self._continue_waiter(next_step, waiter_number, copy, answer.unchanged, None)
         else:
             for next_step, waiter_number in self.joins.end_failed(number):
@@ -204,7 +223,10 @@
             self.proof.begin(now_ms, self.monotonic_clock())
             self._on_epoch_change("the bus is followed")
         self.check_clock(now_ms)
-        self.proof.follow(now_ms)
+        self.proof.follow(now_ms - self.engine.unheard_ms())
+        if self.is_unheard:
+            self.is_unheard = False
+            logger.info("the event bus is heard again: copies are served without being asked for")
         if self.disk:
             self.disk.mark_followed()
 
@@ -262,11 +284,43 @@
             if self.confirms_suspects and self.rules.may_confirm(exchange.request):
                 exchange.confirm_tag = part.tag
 
+    def _copy_state(self, copy: Copy, exchange: Exchange) -> CopyState:
+        """Return the state of a copy for a request, with regard to purges that may count as told unheard.
+
+        A purge that counts as told binds the requests that come after it.
+        """
+        state = self.rules.copy_state(copy.part, self.engine.clock.wall_ms())
+        if state not in (CopyState.FRESH, CopyState.STALE):
+            return state
+        if exchange.accepted_ms < self._usable_until_ms(copy):
+            return state
+        if not self.is_unheard:
+            self.is_unheard = True
+            logger.warning("the event bus is not heard: servers are asked for copies before they are served")
+        self.unheard_copies += 1
+        return CopyState.UNHEARD
+
+    def _usable_until_ms(self, copy: Copy) -> float:
+        """Return until when requests may be served a copy, unless the event bus brings a purge of it."""
+        known_ms = self.engine.clock.now_ms() - self.engine.unheard_ms()
+        share = self._spread(copy.part.key, copy.part.part)
+        return max(copy.usable_until_ms, self.unheard.heard_until_ms(known_ms, share))
+
+    def _spread(self, key: int, part: int) -> float:
+        """Return the share of its time for which a copy is used, different in each gateway of a fleet."""
+        return spread(hash_part(key ^ self.spread_salt, part))
+
     def _answer(self, exchange: Exchange, copy: Copy, unchanged: bool = False) -> Answer:
         tag = copy.part.tag
         client_has_it = unchanged or (exchange.request.client_tag == tag and bool(tag))
+        body = b"" if client_has_it else copy.body
         return Answer(
-            SERVED, b"" if client_has_it else copy.body, client_has_it, tag, since_ms=copy.part.since_ms
+            SERVED,
+            body,
+            client_has_it,
+            tag,
+            since_ms=copy.part.since_ms,
+            usable_until_ms=copy.usable_until_ms,
         )
 
     def _serve(self, exchange: Exchange, copy: Copy, tier: str, unchanged: bool = False) -> bool:
@@ -292,7 +346,7 @@
         """Send an answer that waited for the link, unless its copy is no longer fresh, as after a purge."""
         if exchange.is_over:
             return
-        if self.rules.copy_state(copy.part, self.engine.clock.wall_ms()) is CopyState.FRESH:
+        if self._copy_state(copy, exchange) is CopyState.FRESH:
             self.engine.finish(exchange, answer)
         else:
             self.engine.route(exchange)
@@ -310,9 +364,9 @@
 
     def _on_disk_read(self, exchange: Exchange, part: Part | None, body: bytes) -> None:
         """Handle the result of a disk read: store it in memory, and answer the client if it may be served."""
-        now_ms = self.engine.clock.wall_ms()
         if part and self.rules.matches(part, exchange.request):
-            copy, state = Copy(part, body), self.rules.copy_state(part, now_ms)
+            copy = Copy(part, body)
+            state = self._copy_state(copy, exchange)
             if state is CopyState.FRESH:
                 self.memory.put(part.class_name, part, body)
                 if not (exchange.is_over or exchange.is_routed) and self._serve(exchange, copy, "disk"):
@@ -321,9 +375,9 @@
                 self._record_fallback(exchange, copy, state, hash_part(part.key, part.part))
         self.engine.route(exchange)
 
-    def _store(self, part: Part, body: bytes) -> None:
+    def _store(self, part: Part, body: bytes, usable_until_ms: float) -> None:
         """Store a part in memory and, if it was requested before, on disk."""
-        self.memory.put(part.class_name, part, body)
+        self.memory.put(part.class_name, part, body, usable_until_ms)
         part_hash = hash_part(part.key, part.part)
         if self.disk and part_hash in self.disk:
             self.disk.put(part, body)  # the stored record is older
@@ -356,10 +410,7 @@
             return
         # Enforces the waiter's own age limit: the answer may have been young enough only when the leader
         # asked.
-        is_fresh = (
-            copy is not None
-            and self.rules.copy_state(copy.part, self.engine.clock.wall_ms()) is CopyState.FRESH
-        )
+        is_fresh = copy is not None and self._copy_state(copy, exchange) is CopyState.FRESH
         if (
             next_step is NextStep.SERVE
             and copy
@@ -381,7 +432,7 @@
         stats = self.engine.stats
         for tier in self.hits:
             stats.counters[f"store.hits.{tier}"] = partial(self.hits.__getitem__, tier)
-        for name in ("misses", "confirmed", "refuted", "slow_link"):
+        for name in ("misses", "confirmed", "refuted", "slow_link", "unheard_copies"):
             stats.counters[f"store.{name}"] = partial(getattr, self, name)
         for name in ("joined", "promoted", "impatient", "spared"):
             stats.counters[f"store.join.{name}"] = partial(getattr, self.joins, name)
--- a/standins/parties.py
+++ b/standins/parties.py
@@ -162,13 +162,22 @@
         self.told = 0  # the number of the truth's purges that the current run has been given
         self.port = 0
         self.silent = False
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
         self.extra_delay_ms = 0.0  # extra delay until this gateway is told of a purge
         self.known: dict[str, Any] = {}  # the events in the configuration of the current run
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
+        """Listen, on a free port or after `stop` on the same one."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        """Refuse new connections and end the open ones; the events stay."""
+        assert self.server
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
 
     def begin(self) -> dict[str, Any]:
         """Start the events of a new run; return the `known` object for its configuration."""
@@ -219,6 +228,7 @@
             self.told += 1
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
         try:
             last = int.from_bytes(await reader.readexactly(8), "big")
             session, last_beat_ms = self.session, 0.0
@@ -236,4 +246,5 @@
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
--- a/tests/store/test_store_tier.py
+++ b/tests/store/test_store_tier.py
@@ -384,3 +384,73 @@
     lines = tiers.engine.stats.lines()
     assert "svc.store.hits.memory:1|c" in lines and "svc.store.disk.state:0|g" in lines
     assert any(line.startswith("svc.store.memory_bytes:") and not line.endswith(":0|g") for line in lines)
+
+
+def test_while_the_bus_is_not_heard_a_copy_is_confirmed_and_then_served_again(tiers: Tiers) -> None:
+    """A purge that was not heard counts as told after 7 s, and own copies were served on (review/7)."""
+    tiers.fetch()
+    tiers.bus_goes()
+    tiers.wait(5_000.0)
+    tiers.ask()
+    assert kinds(tiers)[2] == SERVED and not tiers.sent()
+    tiers.wait(3_000.0)
+    epoch = tiers.proof.epoch
+    exchange = tiers.ask()
+    assert exchange.confirm_tag == "t1" and len(tiers.sent()) == 1
+    tiers.keep(tiers.sent()[0], "t1", START - 3_600_000.0)
+    assert tiers.answers[3].body == b"x" * 100
+    tiers.ask()
+    assert kinds(tiers)[4] == SERVED and not tiers.sent(), "for the time that a cache's answer speaks for"
+    tiers.wait(1_300.0)
+    tiers.ask()
+    assert len(tiers.sent()) == 1
+    assert tiers.proof.epoch == epoch, "an epoch more would send all requests to the origin"
+    tiers.bus_comes_back()
+    tiers.ask(43)
+    tiers.serve(tiers.sent()[-1])
+    tiers.ask()
+    assert kinds(tiers)[7] == SERVED, "the copy is used again as soon as the bus is heard"
+
+
+def test_a_late_waiter_is_not_served_an_answer_asked_for_before_a_purge_counted_as_told(tiers: Tiers) -> None:
+    """A cache took 3 s, and its answer was served to requests that came 2 s after it was asked."""
+    tiers.fetch()
+    tiers.bus_goes()
+    tiers.wait(8_000.0)
+    tiers.ask()
+    (attempt,) = tiers.sent()
+    tiers.wait(200.0)
+    tiers.ask()
+    tiers.wait(1_800.0)
+    late = [tiers.ask() for _ in range(3)]
+    tiers.wait(100.0)
+    tiers.serve(attempt)
+    assert kinds(tiers)[2] == kinds(tiers).get(3, SERVED) == SERVED
+    assert not any(exchange.is_over for exchange in late)
+    assert len(tiers.sent()) <= 2, "the late ones wait for one attempt"
+    tiers.serve(tiers.sent()[-1])
+    assert all(exchange.is_over for exchange in late)
+
+
+def test_an_unheard_copy_replaces_no_refusal_and_is_not_read_from_disk_as_fresh() -> None:
+    """Within its grace a copy was served in place of a failure, whatever had not been heard."""
+    tiers = Tiers()
+    tiers.bus_goes()
+    tiers.wait(8_000.0)
+    tiers.fetch(name="brief")
+    tiers.wait(1_450.0)
+    tiers.ask(name="brief")
+    assert tiers.tier.unheard_copies
+    while sent := tiers.sent():
+        sent[-1].written = True
+        sent[-1].end(AttemptResult("err"))
+    assert kinds(tiers)[2] in (FAILED, REFUSED)
+    disk = Tiers()
+    disk.disk()
+    for _ in range(2):
+        disk.fetch()
+        disk.tier.memory.drop(next(iter(disk.tier.memory.copies), 0))
+    disk.bus_goes()
+    disk.wait(8_000.0)
+    exchange = disk.ask()
+    assert exchange.confirm_tag == "t1" and len(disk.sent()) == 1 and disk.tier.hits["disk"] == 0
--- a/tests/store/tiers.py
+++ b/tests/store/tiers.py
@@ -109,6 +109,16 @@
         self.clock.now += step_ms
         self.monotonic_drift_ms -= step_ms
 
+    def bus_goes(self) -> None:
+        """Let the event bus be away from now on."""
+        known_ms = self.clock.now
+        self.engine.unheard_ms = lambda: self.clock.now - known_ms
+
+    def bus_comes_back(self) -> None:
+        """Let the event bus be heard again."""
+        self.engine.unheard_ms = float
+        self.tier.on_caught_up()
+
     def disk(self, files: Files | None = None, options: DiskOptions = SMALL) -> Disk:
         """Attach a disk tier with a folder."""
         files = files or SimFiles(random.Random(1))
