Hear an event bus that is seconds late: ask on a second subscription, keep the first

Cause: a subscription without a whole frame for 1.8 s was ended and asked anew with the same bound, so that whatever takes longer was lost each time; the same for connections that take over 0.4 s to come up.

Change: discovery/subscriptions.py decides without I/O which subscriptions to open, keep and close, two at the most: beside a quiet one a second is asked, and the first to bring a whole frame stays. `BusLink` carries it out. A subscription whose count of heartbeats has to begin anew is renewed beside the one that is well.

--- a/standins/parties.py
+++ b/standins/parties.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 import struct
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -162,6 +163,7 @@
         self.told = 0  # the number of the truth's purges that the current run has been given
         self.port = 0
         self.silent = False
+        self.delay_s = 0.0  # until what the bus sends from now on arrives
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.extra_delay_ms = 0.0  # extra delay until this gateway is told of a purge
@@ -232,16 +234,19 @@
         try:
             last = int.from_bytes(await reader.readexactly(8), "big")
             session, last_beat_ms = self.session, 0.0
+            on_the_way: deque[tuple[float, bytes]] = deque()  # with the time of arrival
             while session is self.session and not writer.is_closing():
                 self.append_due_purges()
                 if not self.silent:
-                    for event in session.events[last:]:
-                        writer.write(event)
+                    due_ms = now_ms() + 1000.0 * self.delay_s
+                    on_the_way += [(due_ms, event) for event in session.events[last:]]
                     last = len(session.events)
                     if now_ms() - last_beat_ms >= self.heartbeat_ms:
                         last_beat_ms = now_ms()
-                        writer.write((9).to_bytes(4, "big") + HEAD.pack(last, 0))
-                    await writer.drain()
+                        on_the_way.append((due_ms, (9).to_bytes(4, "big") + HEAD.pack(last, 0)))
+                while on_the_way and on_the_way[0][0] <= now_ms():
+                    writer.write(on_the_way.popleft()[1])
+                await writer.drain()
                 await asyncio.sleep(0.01)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
--- a/tests/ends/test_ends_discovery.py
+++ b/tests/ends/test_ends_discovery.py
@@ -1,5 +1,6 @@
 """Discovery that goes silent or down at any moment, also while idle clients use up their limit."""
 
+import contextlib
 import resource
 import socket
 import time
@@ -9,9 +10,10 @@
 from conftest import BASE
 from scenario import TIMEOUT_S, Gateway, Party, answer
 
-from hitchtiller.bus import CONNECT_MS, SILENT_MS, BusLink
+from hitchtiller.bus import BusLink
 from hitchtiller.codec import frames
 from hitchtiller.codec.bus import HEAD, RECORD
+from hitchtiller.discovery.subscriptions import CONNECT_MS, SILENT_MS
 from hitchtiller.news import Event
 from hitchtiller.sched import Scheduler, now_ms
 
@@ -98,6 +100,41 @@
     def test_silence_in_the_middle_of_a_length(self) -> None:
         self.check_silence_after(drain_frame(3, 5) + b"\0\0", 3)
 
+    def test_a_quiet_connection_that_speaks_again_is_kept_and_the_second_one_closed(self) -> None:
+        """It was ended after 1.8 s, and what was on its way was lost with it (review/8)."""
+        first = self.accept_subscription()
+        second = self.accept_subscription()
+        self.wait_until(lambda: all(s.is_connected() for s in self.bus.subscriptions.open))
+        first.sendall(drain_frame(1, 5))
+        self.wait_until(lambda: self.bus.last_number == 1)
+        self.wait_until(lambda: len(self.bus.streams) == 1)
+        second.setblocking(True)
+        second.settimeout(TIMEOUT_S)
+        self.assertEqual(second.recv(8), bytes(8))
+        self.assertEqual(second.recv(1), b"")
+        first.sendall(drain_frame(2, 6))
+        self.wait_until(lambda: self.bus.last_number == 2)
+
+    def test_what_two_connections_bring_is_passed_on_once_and_in_order(self) -> None:
+        """The second one brings the list anew; a late frame of the first must not undo what came since."""
+        first = self.accept_subscription()
+        second = self.accept_subscription()
+        second.sendall(drain_frame(1, 5) + drain_frame(2, 6))
+        self.wait_until(lambda: self.bus.last_number == 2)
+        with contextlib.suppress(OSError):
+            first.sendall(drain_frame(1, 7))
+        second.sendall(drain_frame(2, 8) + drain_frame(3, 9))
+        self.wait_until(lambda: self.bus.last_number == 3)
+        self.assertEqual(len(self.received_events), 3)
+
+    def test_the_new_process_of_an_upgrade_gets_ready_beside_a_slow_bus(self) -> None:
+        """It waits for all events so far, and its subscription was ended before they came."""
+        first = self.accept_subscription()
+        self.accept_subscription()
+        self.assertFalse(self.bus.is_followed(True))
+        first.sendall(drain_frame(1, 5) + framed(CAUGHT_UP))
+        self.wait_until(lambda: self.bus.is_followed(True))
+
     def test_moving_to_another_bus_while_the_old_one_is_silent(self) -> None:
         """SIGHUP arrives while the gateway connects to the old address, or waits to do so."""
         self.accept_subscription()
--- a/tests/ends/test_ends_unheard.py
+++ b/tests/ends/test_ends_unheard.py
@@ -97,10 +97,12 @@
         shutil.rmtree(rig.folder, ignore_errors=True)
 
 
-@pytest.mark.parametrize("command", [[], PLATFORM_COMMAND], ids=["store", "platform"])
+async def play_all(leave: Callable[[Rig], None]) -> None:
+    """Play the gateway with the store and the platform's gateway side by side."""
+    await asyncio.gather(*(play(leave, command) for command in ([], PLATFORM_COMMAND)))
+
+
 @pytest.mark.parametrize("leave", [close_bus, silence_bus])
-def test_a_purge_binds_its_copies_once_it_counts_as_told(
-    leave: Callable[[Rig], None], command: list[str]
-) -> None:
+def test_a_purge_binds_its_copies_once_it_counts_as_told(leave: Callable[[Rig], None]) -> None:
     """Copies were served for as long as the event bus was away (review/7)."""
-    asyncio.run(play(leave, command))
+    asyncio.run(play_all(leave))
