Soak of the event bus: random trouble beside purges and drains

standins.bus_soak closes, silences, delays and hangs the bus of a gateway process, as drawn from a seed, and checks each answer against the purges that count as told, and each cache's attempts against its drains.

--- a/standins/parties.py
+++ b/standins/parties.py
@@ -163,6 +163,7 @@
         self.told = 0  # the number of the truth's purges that the current run has been given
         self.port = 0
         self.silent = False
+        self.hang_end_ms = 0.0  # connections opened before it have been silent since the hang and stay so
         self.delay_s = 0.0  # until what the bus sends from now on arrives
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
@@ -233,11 +234,11 @@
         self.writers.add(writer)
         try:
             last = int.from_bytes(await reader.readexactly(8), "big")
-            session, last_beat_ms = self.session, 0.0
+            session, last_beat_ms, opened_ms = self.session, 0.0, now_ms()
             on_the_way: deque[tuple[float, bytes]] = deque()  # with the time of arrival
-            while session is self.session and not writer.is_closing():
+            while session is self.session and not (writer.is_closing() or reader.at_eof()):
                 self.append_due_purges()
-                if not self.silent:
+                if not self.silent and opened_ms >= self.hang_end_ms:
                     due_ms = now_ms() + 1000.0 * self.delay_s
                     on_the_way += [(due_ms, event) for event in session.events[last:]]
                     last = len(session.events)
