--- a/hitchtiller/front/leave.py
+++ b/hitchtiller/front/leave.py
@@ -9,7 +9,7 @@
 from hitchtiller.error_boundary import ErrorBoundary
 from hitchtiller.log import logger
 from hitchtiller.ops.stats import Rejection
-from hitchtiller.sched import now_ms
+from hitchtiller.sched import Scheduler, now_ms
 
 if TYPE_CHECKING:
     from hitchtiller.front.client import Client
@@ -40,6 +40,17 @@
     return kill_ms - LAST_ANSWERS_MS - EXIT_MARGIN_MS, kill_ms - EXIT_MARGIN_MS
 
 
+def end_loop_after(sched: Scheduler, delay_ms: float) -> None:
+    """End the loop after a delay, whatever has failed, unless a stop has ended it by then."""
+
+    def end() -> None:
+        if not sched.stopped:
+            logger.error("the stop did not end in time")
+            sched.stopped = True
+
+    sched.later(delay_ms, end)
+
+
 class DrainControl:
     """Drains, hands over or stops a front."""
 
@@ -127,7 +138,7 @@
         front.state = STOPPING
         logger.info("told to stop")
         answer_ms, exit_ms = self._shutdown_times_or_longest(started_ms)
-        self.sched.later(exit_ms + FORCED_END_MS - started_ms, self._force_end)
+        end_loop_after(self.sched, exit_ms + FORCED_END_MS - started_ms)
         if is_sole_listener:
             self.sched.sleep(ACCEPT_GRACE_MS)
         self.errors.call("closing the listener", front.close)
@@ -190,12 +201,6 @@
         elif client.is_idle() and (final or client.awaits_nothing(now)):
             client.release("stop")
 
-    def _force_end(self) -> None:
-        """End the loop of a stop that has not ended by itself."""
-        if not self.sched.stopped:
-            logger.error("the stop did not end in time")
-            self.sched.stopped = True
-
     def _end_loop(self, code: str) -> None:
         for client in list(self.front.clients):
             self.errors.call("closing a client", client.stream.close, code)
--- a/hitchtiller/ops/stop.py
+++ b/hitchtiller/ops/stop.py
@@ -3,8 +3,7 @@
 from collections.abc import Callable
 
 from hitchtiller.error_boundary import ErrorBoundary
-from hitchtiller.front.leave import FORCED_END_MS, MAX_DEADLINE_MS, times_until_kill
-from hitchtiller.log import logger
+from hitchtiller.front.leave import FORCED_END_MS, MAX_DEADLINE_MS, end_loop_after, times_until_kill
 from hitchtiller.sched import Scheduler, now_ms
 
 Step = tuple[str, Callable[[], None]]
@@ -32,10 +31,4 @@
         """Let the loop end before the platform may kill the process, for which no setting is needed."""
         started_ms = now_ms()
         _, exit_ms = times_until_kill(started_ms, MAX_DEADLINE_MS)
-        self.sched.later(exit_ms + FORCED_END_MS - started_ms, self._force_end)
-
-    def _force_end(self) -> None:
-        """End the loop if the stop has not ended it by itself."""
-        if not self.sched.stopped:
-            logger.error("the stop did not end in time")
-            self.sched.stopped = True
+        end_loop_after(self.sched, exit_ms + FORCED_END_MS - started_ms)
