Tier: the figures for operators in a module of their own

No change of behaviour: store/tier.py had grown by the mend of unheard purges; what registers its statistics is now store/figures.py.

--- a/hitchtiller/store/tier.py
+++ b/hitchtiller/store/tier.py
@@ -15,6 +15,7 @@
 from hitchtiller.news import PurgeNotice
 from hitchtiller.routing.unheard import spread
 from hitchtiller.store.disk import STALL_MS, Disk, monotonic_ms
+from hitchtiller.store.figures import publish_figures
 from hitchtiller.store.format import Part
 from hitchtiller.store.index import hash_part
 from hitchtiller.store.join import Joins, NextStep
@@ -64,7 +65,7 @@
         self.confirmed = self.refuted = self.misses = self.slow_link = self.unheard_copies = 0
         self.epoch = proof.epoch
         engine.copies = self
-        self._publish()
+        publish_figures(self, engine.stats)
 
     # Calls from the engine
 
@@ -426,25 +427,3 @@
             exchange, hash_part(exchange.request.key, exchange.request.part)
         ):
             self.engine.route(exchange)
-
-    def _publish(self) -> None:
-        """Register the statistics that operators read."""
-        stats = self.engine.stats
-        for tier in self.hits:
-            stats.counters[f"store.hits.{tier}"] = partial(self.hits.__getitem__, tier)
-        for name in ("misses", "confirmed", "refuted", "slow_link", "unheard_copies"):
-            stats.counters[f"store.{name}"] = partial(getattr, self, name)
-        for name in ("joined", "promoted", "impatient", "spared"):
-            stats.counters[f"store.join.{name}"] = partial(getattr, self.joins, name)
-        stats.gauges["store.memory_bytes"] = lambda: self.memory.used
-        stats.gauges["store.era"] = lambda: self.proof.epoch
-        for name in ("segments", "parts", "bytes", "dead_bytes", "queued_bytes", "state"):
-            stats.gauges[f"store.disk.{name}"] = partial(self._disk_figure, name)
-        for name in ("puts", "dropped", "reads", "glanced", "torn", "checkpoints"):
-            stats.counters[f"store.disk.{name}"] = partial(self._disk_count, name)
-
-    def _disk_figure(self, name: str) -> int:
-        return self.disk.figures()[name] if self.disk else 0
-
-    def _disk_count(self, name: str) -> int:
-        return int(getattr(self.disk.counts, name)) if self.disk else 0
