--- a/standins/bus_soak.py
+++ b/standins/bus_soak.py
@@ -112,6 +112,7 @@
                 return
             self._judge(key, answer.body, answer.sent_ms)
             await asyncio.sleep(ASK_EVERY_S)
+        client.close()
 
     def _judge(self, key: int, body: bytes, sent_ms: float) -> None:
         truth = self.rig.truth
