Bus: renew a subscription beside a steady flow of events; log ends under their address

What callers saw: nothing yet; found by reading. Beside a bus that sends events in the place of heartbeats, what is known would have aged until copies were not used. After a move the end of the old connection was logged under the new address.

Cause: a renewal was looked for at heartbeats only; the address was read at the end of the connection.

Evidence: the new test of test_subscriptions.py fails without the change of `Subscriptions.on_frame`.

Result: the tests of the subscriptions and of discovery pass (48).

--- a/hitchtiller/bus.py
+++ b/hitchtiller/bus.py
@@ -126,7 +126,7 @@
         try:
             stream = Stream(self.sched, socket.socket())
         except OSError as error:  # out of descriptors: a client may free one soon
-            self._log_end("no-descriptor", error.strerror or "")
+            self._log_end(self.address, "no-descriptor", error.strerror or "")
             self.subscriptions.on_end(subscription, now_ms())
             return
         self.streams[subscription.number] = stream
@@ -140,8 +140,9 @@
 
     def _follow(self, subscription: Subscription, stream: Stream) -> None:
         """Read the events of one subscription until its connection ends."""
+        address = self.address
         try:
-            stream.connect(self.address, GIVE_UP_MS)
+            stream.connect(address, GIVE_UP_MS)
             self.subscriptions.on_connected(subscription, now_ms())
             stream.write(self.last_number.to_bytes(8, "big"))
             self.has_subscribed = True
@@ -151,13 +152,13 @@
             stream.close(str(error) if isinstance(error, StreamClosed) else "junk")
         finally:
             stream.close("fault")  # no effect if it was closed with another code before
-            self._log_end(stream.close_code)
+            self._log_end(address, stream.close_code)
             self.streams.pop(subscription.number, None)
             self.subscriptions.on_end(subscription, now_ms())
             self._plan_again()
 
-    def _log_end(self, code: str, reason: str = "") -> None:
-        host, port = self.address
+    def _log_end(self, address: tuple[str, int], code: str, reason: str = "") -> None:
+        host, port = address
         log_connection_end("bus", f"{host}:{port}", code, reason, last=self.last_number)
 
     def _read_events(self, subscription: Subscription, stream: Stream) -> None:
--- a/hitchtiller/discovery/subscriptions.py
+++ b/hitchtiller/discovery/subscriptions.py
@@ -118,6 +118,8 @@
         subscription.last_bytes_ms = subscription.last_frame_ms = now_ms
         subscription.purpose = Purpose.FOLLOW
         self.failures = 0
+        if subscription.heartbeats.heartbeats:  # events may come in the place of heartbeats
+            self.wants_renewal = subscription.heartbeats.needs_renewal(now_ms)
         followers = [other for other in self.open if other.purpose is Purpose.FOLLOW]
         return [other for other in followers if other is not subscription]
 
--- a/tests/test_subscriptions.py
+++ b/tests/test_subscriptions.py
@@ -11,6 +11,7 @@
     MAX_CONNECT_MS,
     MAX_SUBSCRIPTIONS,
     SILENT_MS,
+    Purpose,
     Subscription,
     Subscriptions,
 )
@@ -203,3 +204,15 @@
     bus = SimulatedBus(connect_ms=lambda opened: REFUSED if opened else 0.0, interval_ms=1_200.0)
     played = play(bus, 120_000)
     assert len(played.heard) >= 99 and len(played.opened) <= 2 + 120_000 / GIVE_UP_MS
+
+
+def test_events_without_heartbeats_make_a_renewal_too() -> None:
+    """What is known would become older and older beside a bus that has something to tell each second."""
+    subscriptions = Subscriptions()
+    subscription = subscriptions.add(Purpose.FOLLOW, 0.0)
+    subscriptions.on_connected(subscription, 0.0)
+    subscriptions.on_frame(subscription, 0.0)
+    subscriptions.on_heartbeat(subscription, 0.0)
+    for second in range(1, 5):
+        subscriptions.on_frame(subscription, 1_000.0 * second)
+    assert subscriptions.plan(4_000.0).open is Purpose.RENEWAL
